--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -7,8 +7,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -45,6 +47,9 @@
 	callHeld             // it is not to be written
 )
 
+// unanswered names, in the tally, the ends of a call that no answer came to.
+var unanswered = map[logic.Outcome]string{logic.Severed: "broken", logic.Overdue: "timed_out", logic.Recalled: "called_off"}
+
 // result is how a call ended.
 type result struct {
 	outcome logic.Outcome
@@ -73,11 +78,31 @@
 	mu          sync.Mutex
 	idle        map[logic.EndpointID][]*idleConn
 	count       int
+	tally       map[string]int // how calls went since the last report; a few fixed names
 }
 
 func newCaller(connectTime, idleTime time.Duration, perEndpoint, most int) *caller {
 	return &caller{dialer: net.Dialer{Timeout: connectTime}, linger: lingerTime, idleTime: idleTime, perEndpoint: max(perEndpoint, 1), most: max(most, 1),
-		idle: map[logic.EndpointID][]*idleConn{}}
+		idle: map[logic.EndpointID][]*idleConn{}, tally: map[string]int{}}
+}
+
+// note counts what became of a call, for the people on call.
+func (c *caller) note(what string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.tally[what]++
+}
+
+// report returns the tally since the last report, as names and counts in order of name.
+func (c *caller) report() []any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := make([]any, 0, 2*len(c.tally))
+	for _, name := range slices.Sorted(maps.Keys(c.tally)) {
+		out = append(out, name, c.tally[name])
+	}
+	clear(c.tally)
+	return out
 }
 
 // do makes a call. When ctx is cancelled the call is called off.
@@ -94,6 +119,7 @@
 		return result{outcome: logic.Moot}
 	}
 	if err != nil {
+		c.note("not_connected")
 		return result{outcome: logic.RefusedConn}
 	}
 	keep := false
@@ -120,6 +146,7 @@
 	}
 	if _, err := conn.Write(b.Bytes()); err != nil {
 		quiet()
+		c.note("not_written")
 		return result{outcome: logic.RefusedConn} // its last byte was not written
 	}
 	conn.limit.N = maxAnswer
@@ -140,6 +167,7 @@
 		_, err = conn.r.Peek(1)
 	}
 	if err != nil {
+		c.note(unanswered[given])
 		return result{outcome: given}
 	}
 	conn.SetDeadline(time.Now().Add(headTime))
@@ -148,8 +176,10 @@
 		resp, err = http.ReadResponse(conn.r, in.request) // an interim answer; the outcome is yet to come
 	}
 	if err != nil {
+		c.note("unreadable")
 		return result{outcome: given}
 	}
+	c.note(statusName(resp.StatusCode))
 	if given == logic.Severed {
 		keep = c.finish(conn, resp)
 	}
@@ -159,8 +189,10 @@
 // connect takes a kept connection or makes one.
 func (c *caller) connect(ctx context.Context, in *call, deadline time.Time) (*idleConn, error) {
 	if conn := c.take(in.ep, in.addr); conn != nil {
+		c.note("reused")
 		return conn, nil
 	}
+	c.note("dialed")
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	conn, err := c.dialer.DialContext(ctx, "tcp", in.addr)
@@ -205,6 +237,16 @@
 	return result{outcome: logic.Errored}
 }
 
+// statusName names an answer in the tally; what the protocol does not know shares a name, so that the tally stays
+// small.
+func statusName(code int) string {
+	switch code {
+	case 200, 410, 429, 500, 503, 504:
+		return "answer_" + strconv.Itoa(code)
+	}
+	return "answer_other"
+}
+
 func isTimeout(err error) bool {
 	var t net.Error
 	return errors.As(err, &t) && t.Timeout()
@@ -250,6 +292,13 @@
 	return true
 }
 
+// kept is the number of idle connections.
+func (c *caller) kept() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.count
+}
+
 // release closes the kept connections to ep.
 func (c *caller) release(ep logic.EndpointID) {
 	c.mu.Lock()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -17,6 +17,7 @@
 	stopSends  = 3200 * time.Millisecond // what is sent after SIGTERM must end by then
 	stopAll    = 3400 * time.Millisecond // and the process must be gone soon after this
 	sweepEvery = time.Second
+	tallyEvery = 5                      // sweeps between two lines on how calls went
 	retryPause = 250 * time.Millisecond // of an attempt that could not be written to the journal
 	eventRoom  = 4096
 )
@@ -146,6 +147,7 @@
 	defer sweep.Stop()
 	pause := time.NewTimer(0)
 	defer pause.Stop()
+	sweeps := 0
 	quiet := false // shutting down, and no client is left
 	for {
 		if quiet && n.open == 0 && len(n.journal.entries) == 0 {
@@ -158,6 +160,9 @@
 		case <-sweep.C:
 			n.caller.sweep()
 			n.forget()
+			if sweeps++; sweeps%tallyEvery == 0 {
+				n.tally()
+			}
 			continue
 		case <-served:
 			quiet, served = true, nil
@@ -184,6 +189,13 @@
 	}
 }
 
+// tally writes a line on how calls went and what is held, unless nothing happened.
+func (n *Node) tally() {
+	if counts := n.caller.report(); len(counts) > 0 {
+		n.log.Info("calls", append(counts, "idle", n.caller.kept(), "open", n.open, "owed", len(n.journal.entries))...)
+	}
+}
+
 // resume hands the module what the journal holds, with what became of it so far.
 func (n *Node) resume() {
 	if n.cfg.Known.Generation != 0 || len(n.cfg.Known.Instances) > 0 {
