Tell outages from calls that break by chance by the odds of the run

Two failures in a row, or one connection that did not come up, took an endpoint out, and its return was held to the cold budget for 14 s; one failure kept unsafe messages away to their aim. Messages waited seconds for their first attempt and clients withdrew them.

Now the module keeps the share of calls that fail by chance at endpoints not out, and takes an endpoint out only when its run of failures is less likely than 1 in 5,000 at that share. A connection refused where nothing was answered for a second, silence and shut destinations count as before.

Ruled out: the client's door (answers within 15 ms for all of 8,079 requests, no failed write); the loop (no step over 20 ms, CPU under its limit); stale kept connections (fresh ones broke as often).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -32,7 +32,14 @@
 	paceCreep = 0.1        // ours: growth of the pace with each success
 	paceFree  = 4.0        // ours: a pace this many times what is sent sets nothing any more and is dropped
 
-	badAlpha    = 0.3          // ours: weight of the newest outcome in an endpoint's share of failures
+	badAlpha    = 0.15         // ours: weight of the newest outcome in an endpoint's share of failures
+	slowAlpha   = 0.3          // ours: weight of the newest call in an endpoint's smoothed latency
+	strayAlpha  = 0.02         // ours: weight of the newest call in the share of calls that fail by chance
+	strayLeast  = 0.01         // ours: it is never taken for less than this ...
+	strayMost   = 0.3          // ours: ... nor for more
+	outOdds     = 0.0002       // ours: a run of failures less likely by chance than this is an outage
+	doubtOdds   = 0.05         // ours: and one less likely than this keeps unsafe messages away
+	answered    = Second       // ours: an answer this fresh speaks for an endpoint that refuses a connection
 	badShare    = 0.45         // ours: failing more than this is an outage
 	shyMost     = 8 * Second   // ours: longest mean rest of a lane after a refusal, among many senders
 	sendAgain   = 1.0          // ours: part of the traffic of an outage that comes again at one time
@@ -376,7 +383,8 @@
 		}
 		return e.trialAt
 	}
-	if m.class.Effect == Unsafe && e.bad > badUnsafe && s.now < m.first+m.class.Aim {
+	doubt := e.bad > badUnsafe || s.chance(e) < doubtOdds
+	if m.class.Effect == Unsafe && doubt && s.now < m.first+m.class.Aim {
 		return m.first + m.class.Aim
 	}
 	// Outages mostly take all endpoints: after one has failed, the others are tried singly until they answer.
@@ -703,7 +711,7 @@
 			}
 			h.add(s.now, r.Took, false)
 		}
-		e.slow += badAlpha * (float64(r.Took) - e.slow)
+		e.slow += slowAlpha * (float64(r.Took) - e.slow)
 		if e.slow == 0 {
 			e.slow = float64(r.Took)
 		}
@@ -724,12 +732,15 @@
 			if !a.late {
 				e.dest.hist.add(s.now, s.now-a.at, true)
 			}
-			e.slow += badAlpha * max(0, float64(s.now-a.at)-e.slow)
+			e.slow += slowAlpha * max(0, float64(s.now-a.at)-e.slow)
 		} else if a.stuck && e.lastOK < a.at {
 			s.failed(e, "silent")
 		}
 	case RefusedConn:
 		s.failed(e, "refuses connections")
+		if !e.suspect { // may be chance: the next try is soon, but not all of them within an instant
+			m.rest = s.now + errorRest<<min(m.tries-1, 5)
+		}
 	case Errored, Severed:
 		s.failed(e, "errors")
 		m.rest = s.now + errorRest<<min(m.tries, 5)
@@ -781,20 +792,30 @@
 		e.well = max(e.well, sent)
 	}
 	e.lastOK = s.now
+	s.stray -= strayAlpha * s.stray
 	e.fails, e.fulls, e.lane.fulls = 0, 0, 0
 	e.bad *= 1 - badAlpha
 }
 
-// failed notes a sign of an outage at e: an error, a reset, no connection or no answer.
+// failed notes a sign of an outage at e: an error, a reset, no connection or no answer. Networks break single
+// calls everywhere, which tells nothing of one endpoint: only a run too long for chance is an outage.
 func (s *Sender) failed(e *endpoint, how string) {
 	e.fails++
+	stale := how == "refuses connections" && e.lastOK < s.now-answered // nothing speaks for e
 	e.lastBad = s.now
 	e.bad += badAlpha * (1 - e.bad)
-	if e.fails >= 2 || e.bad > badShare || how != "errors" {
+	if e.suspect || e.bad > badShare || s.chance(e) < outOdds || stale || how == "silent" {
 		s.takeOut(e, how)
+	} else if e.fails <= 2 { // the rest of a run tells of e alone
+		s.stray += strayAlpha * (1 - s.stray)
 	}
 }
 
+// chance is how likely the present run of failures at e is where nothing is out; 1 if there is none.
+func (s *Sender) chance(e *endpoint) float64 {
+	return math.Pow(min(max(s.stray, strayLeast), strayMost), float64(e.fails))
+}
+
 // full notes a refusal; refusals in a row over longer than a limit's window, or a long told wait, mean shut.
 // Many senders come too rarely to tell by four: those that were refused twice would topple what opens again.
 func (s *Sender) full(e *endpoint, wait Micros) {
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -682,3 +682,44 @@
 		}
 	}
 }
+
+// Where the network breaks calls now and then at all endpoints alike, a break or two in a row is no outage: the
+// endpoint goes on getting messages, unsafe ones too. A run too long for chance is one.
+func TestStrayBreaksAreNoOutage(t *testing.T) {
+	r := newRig(t, base())
+	r.step(0, list(1))
+	at := 0.0
+	send := func(class int, o Outcome) {
+		t.Helper()
+		at += 0.5
+		c := r.call(class)
+		acts := r.step(at, c)
+		if n := len(only[CallOut](acts)); n != 1 {
+			t.Fatalf("at %.1f s: %d sends for a new message of class %d, want one at once", at, n, class)
+		}
+		r.step(at+0.1, answer(c.ID, 1, 0, o), ClientGone{c.ID})
+	}
+	for i := range 200 { // every tenth call breaks
+		o := Completed
+		if i%10 == 9 {
+			o = []Outcome{Severed, RefusedConn}[i/10%2]
+		}
+		send(i%2*2, o)
+	}
+	send(0, Severed)
+	send(0, Severed) // two in a row, the share being what it is
+	send(0, Completed)
+	if e := r.s.eps[1]; e.suspect || e.cold {
+		t.Errorf("taken for out: suspect %v, cold %v", e.suspect, e.cold)
+	}
+	for range 12 { // held messages that nobody wants any more keep the rig simple: each is sent once
+		at += 3
+		c := r.call(0)
+		for _, a := range only[CallOut](r.step(at, c)) {
+			r.step(at+0.1, answer(a.ID, 1, 0, Severed), ClientGone{a.ID})
+		}
+	}
+	if e := r.s.eps[1]; !e.suspect || !e.cold {
+		t.Error("not taken for out after a dozen breaks in a row")
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -146,6 +146,7 @@
 	closeAt   Micros // when this sender stops; 0 if it does not
 	logs      int
 	many      bool            // senders
+	stray     float64         // share of calls that fail by chance, at endpoints that are not out
 	turned    map[int]float64 // by kind, share of calls turned away
 	meanWorth float64         // of messages that came
 }
