Watch discovery from the start where the list is pushed

The watch now starts with the sender where the list is pushed, and news of the list gets a log line.

--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -273,6 +273,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startConfig(t, cfg, dir, with...)
+}
+
+func startConfig(t *testing.T, cfg *Config, dir string, with ...func(*Node)) *testNode {
+	t.Helper()
 	cfg.StateDir = dir
 	n, err := New(cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -113,6 +113,9 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	if !n.cfg.Deploy.Settings.OnRequest {
+		n.listen(work) // the module is told of changes without asking; on a socket somebody must ask
+	}
 	go n.notices.run(work)
 	go n.clients.serve(ln)
 	n.log.Info("ready", "name", n.cfg.Name, "addr", ln.Addr().String(), "held", len(n.held))
@@ -309,6 +312,9 @@
 		form = logic.ListFull
 	}
 	rows := n.dir.take(ev.list)
+	if len(rows) > 0 {
+		n.log.Info("list", "generation", ev.list.Generation, "whole", ev.list.Reset, "entries", len(rows))
+	}
 	n.hold(func(ep logic.EndpointID) bool {
 		i := slices.IndexFunc(rows, func(row logic.Entry) bool { return row.Endpoint == ep })
 		return i >= 0 && rows[i].State != logic.Ready || i < 0 && ev.list.Reset
@@ -485,15 +491,20 @@
 	case logic.Release:
 		n.caller.release(a.Endpoint)
 	case logic.Listen:
-		if !n.watching {
-			n.watching = true
-			go n.disc.watch(work)
-		}
+		n.listen(work)
 	case logic.Log:
 		n.log.Info(a.Text)
 	}
 }
 
+// listen watches the list, unless a watch is on. It ends with the event of a call that failed.
+func (n *Node) listen(work context.Context) {
+	if !n.watching {
+		n.watching = true
+		go n.disc.watch(work)
+	}
+}
+
 // callOut makes an attempt. Without its record in the journal it is not made.
 func (n *Node) callOut(work context.Context, a logic.CallOut, written bool) {
 	h := n.held[a.ID]
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -288,6 +288,35 @@
 	e[1].none(t)
 }
 
+// Where the list is pushed the module does not ask for it: the sender hears of changes all the same.
+func TestPushedList(t *testing.T) {
+	p := newPlatform(t)
+	e := []*endpoint{newEndpoint(t), newEndpoint(t)}
+	known := List{Generation: 1, Reset: true, Instances: instances(e...)}
+	p.list = known
+	text := strings.Replace(string(configText(p, known)), `"on_request"`, `"push"`, 1)
+	cfg, err := ParseConfig([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if cfg.Deploy.Settings.OnRequest {
+		t.Fatal("the list is not pushed in this configuration")
+	}
+	n := startConfig(t, cfg, t.TempDir())
+	taken(t, p, 1)
+	list := instances(e...)
+	list[0].Lifecycle = "draining"
+	p.set(func() { p.list = List{Generation: 2, Instances: list[:1]} })
+	taken(t, p, 2)
+	c := dial(t, n.addr)
+	for i := range 4 {
+		c.put(fmt.Sprint("m", i), "safe", "+OK")
+		await(t, e[1].calls, "call").reply(200)
+	}
+	e[0].none(t)
+	stopClean(t, n)
+}
+
 // While discovery is down the last list serves, and the sender asks again until it hears.
 func TestDiscoveryDown(t *testing.T) {
 	p := newPlatform(t)
