Close idle client connections, so that they no longer shut new ones out

Nothing closed one, the table of sockets/2 filled up, and from then on each new connection was closed at accept; clients came again elsewhere, 1.3 to 2.9 tries a request, and some never got in.

A first request must have come whole within 2.5 s of connecting, and a request holds no more memory than a proper one takes. The table and what was closed are counted in the log.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -16,9 +16,11 @@
 )
 
 const (
-	maxHold      = 24 * time.Hour // the longest time that a message may ask for
-	requestTime  = 5 * time.Second
-	answerTime   = 5 * time.Second
+	maxHold      = 24 * time.Hour          // the longest time that a message may ask for
+	requestTime  = 2500 * time.Millisecond // for a whole request, a connection's first one counted from its start
+	answerTime   = 2500 * time.Millisecond
+	idleClient   = 30 * time.Second       // a connection without a request is closed after this ...
+	idleLeast    = 2 * time.Second        // ... and from this on when the table is full
 	lastRequest  = 200 * time.Millisecond // at a shutdown, for a request that has begun to come
 	maxIDLen     = 128
 	acceptPause  = 5 * time.Millisecond
@@ -39,17 +41,27 @@
 	events  chan<- any
 	most    int // connections
 	mu      sync.Mutex
-	conns   map[net.Conn]struct{}
+	conns   map[net.Conn]*standing
+	away    int // connections turned away or closed to make room, since the last report
+	late    int // connections closed for want of a whole request in time, since the last report
 	closing bool
 	wg      sync.WaitGroup
 }
 
+// standing is what a connection has shown so far.
+type standing struct {
+	since  time.Time // of its start or its last answer
+	proven bool      // a whole request has come on it
+	busy   bool      // a request is under way
+	evict  bool      // closed to make room
+}
+
 func newClients(cfg *Config, log *slog.Logger, events chan<- any) *clients {
 	most := 256
 	if cfg.Limits.Sockets > 0 {
 		most = max(cfg.Limits.Sockets/2, 16)
 	}
-	return &clients{cfg: cfg, log: log, events: events, most: most, conns: map[net.Conn]struct{}{}}
+	return &clients{cfg: cfg, log: log, events: events, most: most, conns: map[net.Conn]*standing{}}
 }
 
 // serve accepts connections until the listener is closed.
@@ -65,10 +77,12 @@
 			continue
 		}
 		c.mu.Lock()
-		ok := !c.closing && len(c.conns) < c.most
+		ok := !c.closing && (len(c.conns) < c.most || c.makeRoom())
 		if ok {
-			c.conns[conn] = struct{}{}
+			c.conns[conn] = &standing{since: time.Now()}
 			c.wg.Add(1)
+		} else {
+			c.away++
 		}
 		c.mu.Unlock()
 		if !ok {
@@ -86,6 +100,68 @@
 	}
 }
 
+// makeRoom closes the connection that is the least loss: the longest idle one, or else the one that has gone
+// longest without its first whole request. Its reader wakes and ends; until then the table is one over. The caller
+// holds c.mu.
+func (c *clients) makeRoom() bool {
+	var worst net.Conn
+	var w *standing
+	for conn, x := range c.conns {
+		switch {
+		case x.evict || x.busy && x.proven || x.proven && time.Since(x.since) < idleLeast:
+		case w == nil || x.proven && !w.proven || x.proven == w.proven && x.since.Before(w.since):
+			worst, w = conn, x
+		}
+	}
+	if w == nil || len(c.conns) > c.most+c.most/8 {
+		return false
+	}
+	w.evict = true
+	c.away++
+	worst.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
+// report returns what the table holds and how many connections were closed for a cause since the last report.
+func (c *clients) report() []any {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := []any{"clients", len(c.conns), "clients_away", c.away, "clients_late", c.late}
+	c.away, c.late = 0, 0
+	return out
+}
+
+// await sets the time by which the next request must have come, and says whether one may.
+func (c *clients) await(conn net.Conn, busy bool, by time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x := c.conns[conn]
+	if x == nil || x.evict {
+		return false
+	}
+	if x.busy = busy; c.closing && !busy {
+		by = time.Now() // wakes the reader, which looks for a request that has begun to come
+	}
+	conn.SetReadDeadline(by)
+	return true
+}
+
+// served notes that a request on conn has its answer.
+func (c *clients) served(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if x := c.conns[conn]; x != nil {
+		x.since, x.proven, x.busy = time.Now(), true, false
+	}
+}
+
+// tooLate notes a connection that was closed for want of a whole request in time.
+func (c *clients) tooLate() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.late++
+}
+
 // shutdown closes each connection once no request is under way on it, and returns
 // when all are closed or ctx is over.
 func (c *clients) shutdown(ctx context.Context) {
@@ -125,20 +201,33 @@
 
 func (c *clients) handle(conn net.Conn) {
 	r := bufio.NewReader(conn)
+	first := time.Now().Add(requestTime) // a peer is owed an answer or an end soon after it connects
+	idle := first
 	for {
-		if !c.waitRequest(conn, r) {
+		if !c.await(conn, false, idle) || !c.waitRequest(conn, r) {
+			if !first.IsZero() && !time.Now().Before(first) {
+				c.tooLate()
+			}
 			return
 		}
-		limit := requestTime
+		by := time.Now().Add(requestTime)
+		if !first.IsZero() {
+			by = first
+		}
 		if c.isClosing() {
-			limit = lastRequest
+			by = time.Now().Add(lastRequest)
+		}
+		if !c.await(conn, true, by) {
+			return
 		}
-		conn.SetReadDeadline(time.Now().Add(limit))
 		args, err := readCommand(r)
 		if err != nil {
-			if errors.Is(err, errProtocol) {
+			switch {
+			case errors.Is(err, errProtocol):
 				conn.SetWriteDeadline(time.Now().Add(answerTime))
 				fmt.Fprintf(conn, "-ERR %v\r\n", err)
+			case errors.Is(err, os.ErrDeadlineExceeded):
+				c.tooLate()
 			}
 			return
 		}
@@ -147,13 +236,8 @@
 		if _, err := conn.Write([]byte(answer)); err != nil {
 			return
 		}
-		c.mu.Lock()
-		if c.closing {
-			conn.SetReadDeadline(time.Now())
-		} else {
-			conn.SetReadDeadline(time.Time{})
-		}
-		c.mu.Unlock()
+		c.served(conn)
+		first, idle = time.Time{}, time.Now().Add(idleClient)
 	}
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -195,7 +195,8 @@
 // tally writes a line on how calls went and what is held, unless nothing happened.
 func (n *Node) tally() {
 	if counts := n.caller.report(); len(counts) > 0 {
-		n.log.Info("calls", append(counts, "idle", n.caller.kept(), "open", n.open, "owed", len(n.journal.entries))...)
+		counts = append(counts, "idle", n.caller.kept(), "open", n.open, "owed", len(n.journal.entries))
+		n.log.Info("calls", append(counts, n.clients.report()...)...)
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -409,6 +409,32 @@
 	stopClean(t, n)
 }
 
+// Peers that say nothing, or never finish, are closed, and shut nobody out while they last.
+func TestSilentPeersLeaveRoom(t *testing.T) {
+	n, c, _, e := world(t, 1, func(n *Node) { n.clients.most = 4 })
+	c.put("a", "safe", "+OK")
+	await(t, e[0].calls, "call").reply(200)
+	silent, half := dial(t, n.addr), dial(t, n.addr)
+	half.conn.Write([]byte("*5\r\n$7\r\nMSG"))
+	if got := c.do("PING"); got != "+PONG" { // by now both are in the table or come to it before the next
+		t.Fatalf("got %q", got)
+	}
+	for i := range 8 {
+		dial(t, n.addr)
+		x := dial(t, n.addr)
+		x.put(fmt.Sprint("m", i), "safe", "+OK")
+		await(t, e[0].calls, "call").reply(200)
+		x.conn.Close()
+	}
+	if got := silent.line(); got != "" {
+		t.Errorf("a silent peer got %q", got)
+	}
+	if got := half.line(); got != "" && !strings.HasPrefix(got, "-ERR ") {
+		t.Errorf("a peer with half a request got %q", got)
+	}
+	stopClean(t, n)
+}
+
 // A request that came just before the sender closes its connections is answered: its client counts on that.
 func TestRequestCrossesShutdown(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -432,7 +458,7 @@
 		}
 	}
 	served := newClients(&Config{}, slog.New(slog.DiscardHandler), nil)
-	served.closing = true
+	served.closing, served.conns[conn] = true, &standing{}
 	conn.SetReadDeadline(time.Now())
 	served.handle(conn)
 	conn.Close()
--- a/internal/node/resp.go
+++ b/internal/node/resp.go
@@ -13,6 +13,7 @@
 	maxArgs = 16
 	maxBulk = 64 << 10 // body
 	maxLine = 64       // length lines
+	maxRest = 4 << 10  // all that is not the longest argument
 )
 
 // errProtocol marks what is not a RESP2 request; the connection cannot go on.
@@ -29,11 +30,15 @@
 		return nil, fmt.Errorf("%w: empty request", errProtocol)
 	}
 	args := make([][]byte, n)
+	left := maxBulk + maxRest // peers hold no more memory than a proper request takes
 	for i := range args {
 		size, err := readLength(r, '$', maxBulk)
 		if err != nil {
 			return nil, unexpected(err)
 		}
+		if left -= size; left < 0 {
+			return nil, fmt.Errorf("%w: request over %d bytes", errProtocol, maxBulk+maxRest)
+		}
 		b := make([]byte, size+2)
 		if _, err := io.ReadFull(r, b); err != nil {
 			return nil, unexpected(err)
