--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -171,10 +171,16 @@
 		return result{outcome: given}
 	}
 	conn.SetDeadline(time.Now().Add(headTime))
+	delivered := saysDelivered(conn.r)
 	resp, err := http.ReadResponse(conn.r, in.request)
 	for err == nil && resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
+		delivered = saysDelivered(conn.r)
 		resp, err = http.ReadResponse(conn.r, in.request) // an interim answer; the outcome is yet to come
 	}
+	if err != nil && delivered {
+		c.note("unreadable_200")
+		return result{outcome: logic.Completed} // the first line is true, whatever broke off after it
+	}
 	if err != nil {
 		c.note("unreadable")
 		return result{outcome: given}
@@ -186,6 +192,16 @@
 	return outcomeOf(resp)
 }
 
+// saysDelivered looks at the first line of an answer that is about to be read, and says whether its status is 200.
+func saysDelivered(r *bufio.Reader) bool {
+	const line = "HTTP/1.1 200"
+	b, err := r.Peek(len(line) + 1)
+	if len(b) < len(line) || string(b[:7]) != line[:7] || string(b[8:len(line)]) != line[8:] {
+		return false
+	}
+	return err != nil || b[len(line)] == ' ' || b[len(line)] == '\r' || b[len(line)] == '\n'
+}
+
 // connect takes a kept connection or makes one.
 func (c *caller) connect(ctx context.Context, in *call, deadline time.Time) (*idleConn, error) {
 	if conn := c.take(in.ep, in.addr); conn != nil {
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -259,3 +259,30 @@
 		t.Errorf("got %+v, want Completed", r)
 	}
 }
+
+// What breaks off after a first line with 200 was delivered all the same; any other answer that can't be read may
+// have run.
+func TestBrokenAnswers(t *testing.T) {
+	e, c := newEndpoint(t), testCaller()
+	for text, want := range map[string]logic.Outcome{
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nEndp":            logic.Completed,
+		"HTTP/1.1 200 OK\r\nno colon\r\n\r\n":                     logic.Completed,
+		"HTTP/1.0 200\r\n\x00: \x01\r\n\r\n":                      logic.Completed,
+		"HTTP/1.1 200 O":                                          logic.Completed,
+		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nbad\r\n": logic.Completed,
+		"HTTP/1.1 20":                        logic.Severed,
+		"HTTP/1.1 2000 OK\r\n\r\n":           logic.Severed,
+		"HTTP/1.1 503 x\r\nno colon\r\n\r\n": logic.Severed,
+		"200 OK\r\n\r\n":                     logic.Severed,
+		"\x00\x01\x02":                       logic.Severed,
+	} {
+		got := goDo(t.Context(), c, newCall(t, e.addr(), "hello", patience))
+		in := await(t, e.calls, "call")
+		io.WriteString(in.conn, text)
+		in.conn.Close()
+		in.done <- false
+		if r := await(t, got, "result"); r.outcome != want {
+			t.Errorf("%q: outcome %d, want %d", text, r.outcome, want)
+		}
+	}
+}
