Follow discovery to its new address at SIGHUP instead of dying of it

The address is now read from the file again (the environment holds that of the start), the watch begins anew there with the whole list, since versions may differ, and notices go there from the next request on. A file that is half written is read again for up to a second; one that stays bad leaves the old address in place with a line in the log.

--- a/cmd/cometrack/main.go
+++ b/cmd/cometrack/main.go
@@ -10,7 +10,9 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
 	"syscall"
+	"time"
 
 	"ravenmount/internal/node"
 )
@@ -23,7 +25,14 @@
 	}
 }
 
+const (
+	readPause = 100 * time.Millisecond // before a configuration that could not be read is read again
+	readTries = 10
+)
+
 func run(log *slog.Logger) error {
+	hup := make(chan os.Signal, 1) // one that is not read yet stands for all that came since
+	signal.Notify(hup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	cfg, err := node.LoadConfig()
@@ -40,5 +49,36 @@
 	if err != nil {
 		return err
 	}
-	return n.Run(ctx)
+	done := make(chan struct{})
+	var wg sync.WaitGroup
+	wg.Go(func() { follow(n, log, hup, done) })
+	err = n.Run(ctx)
+	close(done)
+	wg.Wait()
+	return err
+}
+
+// follow takes discovery's address anew at each SIGHUP, until done is closed.
+func follow(n *node.Node, log *slog.Logger, hup <-chan os.Signal, done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-hup:
+		}
+		addr, err := node.LoadDiscovery()
+		for i := 1; err != nil && i < readTries; i++ { // the file may be half written
+			select {
+			case <-done:
+				return
+			case <-time.After(readPause):
+			}
+			addr, err = node.LoadDiscovery()
+		}
+		if err != nil {
+			log.Error("configuration not taken", "err", err)
+			continue
+		}
+		n.Move(addr)
+	}
 }
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -35,8 +35,8 @@
 	Tenants   map[string]int
 }
 
-// LoadConfig reads the environment and the file that it names.
-func LoadConfig() (*Config, error) {
+// readConfig reads the file that the environment names.
+func readConfig() (*Config, error) {
 	path := os.Getenv("BALANCER_CONFIG")
 	if path == "" {
 		return nil, errors.New("BALANCER_CONFIG is not set")
@@ -49,6 +49,27 @@
 	if err != nil {
 		return nil, fmt.Errorf("config %s: %w", path, err)
 	}
+	return cfg, nil
+}
+
+// LoadDiscovery reads discovery's address anew. The file has it: the environment is that of the start.
+func LoadDiscovery() (string, error) {
+	cfg, err := readConfig()
+	if err != nil {
+		return "", err
+	}
+	if cfg.Discovery == "" {
+		return "", errors.New("the configuration names no discovery")
+	}
+	return cfg.Discovery, nil
+}
+
+// LoadConfig reads the environment and the file that it names.
+func LoadConfig() (*Config, error) {
+	cfg, err := readConfig()
+	if err != nil {
+		return nil, err
+	}
 	cfg.StateDir = os.Getenv("BALANCER_STATE")
 	for name, field := range map[string]*string{"BALANCER_NAME": &cfg.Name, "BALANCER_LISTEN": &cfg.Listen,
 		"BALANCER_DISCOVERY": &cfg.Discovery} {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
 	"ravenmount/logic"
@@ -97,12 +98,15 @@
 
 // discovery asks for the list. A watch runs from listen until a call fails.
 type discovery struct {
-	base    string
 	client  *http.Client
 	log     *slog.Logger
 	events  chan<- any
 	gen     int64 // of the list that the loop has; used by one watch at a time
 	started bool  // there is such a list
+	mu      sync.Mutex
+	base    string
+	moved   bool               // since the last call began
+	cut     context.CancelFunc // ends the call under way
 }
 
 func newDiscovery(addr string, log *slog.Logger, events chan<- any) *discovery {
@@ -115,15 +119,21 @@
 // once, so that nothing is missed in between.
 func (d *discovery) watch(ctx context.Context) {
 	for ctx.Err() == nil {
-		url, limit := d.base+"/discovery/hosts", listTime
+		call, base, moved := d.begin(ctx)
+		if moved { // its list begins anew: the versions of another address may be others
+			d.started = false
+		}
+		url, limit := base+"/discovery/hosts", listTime
 		if d.started {
 			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, watchHold.Milliseconds())
 			limit = watchHold + watchSlack
 		}
 		at := time.Now()
-		list, err := d.get(ctx, url, limit)
-		if ctx.Err() != nil {
+		list, err := d.get(call, url, limit)
+		if moved := d.end(); ctx.Err() != nil {
 			return
+		} else if moved {
+			continue // what the old address said last, the new one says too
 		}
 		if err != nil {
 			d.log.Warn("discovery", "err", err)
@@ -138,6 +148,34 @@
 	}
 }
 
+// begin says where the next call goes, and whether that is another address than before.
+func (d *discovery) begin(ctx context.Context) (call context.Context, base string, moved bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	moved, d.moved = d.moved, false
+	call, d.cut = context.WithCancel(ctx)
+	return call, d.base, moved
+}
+
+// end lets go of a call and says whether discovery has moved since it began.
+func (d *discovery) end() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cut()
+	d.cut = nil
+	return d.moved
+}
+
+// move takes another address from now on. A call under way to the old one is called off.
+func (d *discovery) move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.base, d.moved = "http://"+addr, true
+	if d.cut != nil {
+		d.cut()
+	}
+}
+
 func (d *discovery) get(ctx context.Context, url string, limit time.Duration) (List, error) {
 	var list List
 	ctx, cancel := context.WithTimeout(ctx, limit)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -97,6 +97,13 @@
 	return n, nil
 }
 
+// Move takes another address of discovery, for the list and for notices. It may be called at any time.
+func (n *Node) Move(addr string) {
+	n.log.Info("discovery has moved", "addr", addr)
+	n.disc.move(addr)
+	n.notices.move(addr)
+}
+
 func span(t logic.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
 func micros(d time.Duration) logic.Micros {
 	return logic.Micros(d / time.Microsecond)
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -44,6 +44,13 @@
 
 func outcomesURL(addr string) string { return "http://" + addr + "/v1/outcomes" }
 
+// move takes another address from the next request on. One under way to the old one ends as it may.
+func (n *notices) move(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.url = outcomesURL(addr)
+}
+
 // add queues a notice. It never waits.
 func (n *notices) add(x Notice) {
 	n.mu.Lock()
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -34,10 +34,11 @@
 
 // process is the real program.
 type process struct {
-	t    *testing.T
-	cmd  *exec.Cmd
-	addr string
-	done chan error
+	t      *testing.T
+	cmd    *exec.Cmd
+	addr   string
+	config string // path
+	done   chan error
 }
 
 // startProcess starts it with what the platform would tell it and waits until it is ready.
@@ -61,7 +62,7 @@
 	if err := cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
-	x := &process{t: t, cmd: cmd, done: make(chan error, 1)}
+	x := &process{t: t, cmd: cmd, config: config, done: make(chan error, 1)}
 	t.Cleanup(func() { cmd.Process.Kill() })
 	addr := make(chan string, 1)
 	go func() {
@@ -258,3 +259,31 @@
 	}
 	x.kill()
 }
+
+// The platform moves discovery: list and notices follow to the address in the file, and the program goes on.
+func TestHangupMovesDiscovery(t *testing.T) {
+	p, q, e, dir := newPlatform(t), newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 7, Reset: true, Instances: instances(e)}
+	p.list = known
+	x := startProcess(t, p, dir, known)
+	taken(t, p, 7)
+	moved := newEndpoint(t)
+	q.list = List{Generation: 3, Reset: true, Instances: instances(moved)} // versions of its own
+	if err := os.WriteFile(x.config, configText(q, known), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	x.cmd.Process.Signal(syscall.SIGHUP)
+	taken(t, q, 3)
+	c := dial(t, x.addr)
+	c.put("a", "unsafe", "+OK")
+	await(t, moved.calls, "call").reply(500)
+	if n := await(t, q.notices, "notice"); n != (Notice{ID: "a", State: "failed"}) {
+		t.Errorf("notice %+v", n)
+	}
+	if len(p.notices) != 0 {
+		t.Errorf("the old address got %+v", <-p.notices)
+	}
+	x.term()
+	x.end()
+	e.none(t)
+}
