--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -55,6 +55,7 @@
 	outcome logic.Outcome
 	wait    time.Duration // told by a refusal
 	over    bool          // the endpoint says that the message is over
+	report  string        // of its load, as it stands in the answer
 }
 
 // idleConn is a connection with no call on it.
@@ -189,7 +190,9 @@
 	if given == logic.Severed {
 		keep = c.finish(conn, resp)
 	}
-	return outcomeOf(resp)
+	r := outcomeOf(resp)
+	r.report = resp.Header.Get("Endpoint-Load-Metrics")
+	return r
 }
 
 // saysDelivered looks at the first line of an answer that is about to be read, and says whether its status is 200.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -4,8 +4,11 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math"
 	"net"
 	"slices"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -357,7 +360,34 @@
 		delete(n.held, ev.call.id)
 	}
 	n.next = append(n.next, logic.Reply{ID: ev.call.id, NoMore: ended || done, Endpoint: ev.call.ep,
-		Attempt: ev.call.attempt, Outcome: r.outcome, Took: micros(ev.took), Wait: micros(r.wait)})
+		Attempt: ev.call.attempt, Outcome: r.outcome, Took: micros(ev.took), Wait: micros(r.wait),
+		Load: n.loadOf(r.report)})
+}
+
+// loadOf reads the report of an answer, each field in the place that the settings give it; nil if there is none.
+// What cannot be read is left out.
+func (n *Node) loadOf(report string) []float64 {
+	set := n.cfg.Deploy.Settings
+	var load []float64
+	for pair := range strings.SplitSeq(report, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(pair), "=")
+		place := -1
+		switch name {
+		case "x0":
+			place = set.ReportLeft
+		case "x1":
+			place = set.ReportLimit
+		}
+		x, err := strconv.ParseFloat(value, 64)
+		if place < 0 || err != nil || !(x >= 0 && x <= math.MaxFloat32) {
+			continue
+		}
+		for len(load) <= place {
+			load = append(load, 0)
+		}
+		load[place] = x
+	}
+	return load
 }
 
 // mayHaveRun says what an outcome leaves open.
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -536,3 +537,40 @@
 		}
 	}
 }
+
+// The module hears the load that an answer reports, each field in its place; what makes no sense is left out.
+func TestLoadReports(t *testing.T) {
+	p := newPlatform(t)
+	text := strings.Replace(string(configText(p, List{})), `{"how":"off","names":[]}`, `{"how":"answers","names":["x0","x1"]}`, 1)
+	cfg, err := ParseConfig([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.StateDir = t.TempDir()
+	n, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.journal.Close()
+	for _, x := range []struct {
+		report string
+		want   []float64
+	}{
+		{"x0=0.4,x1=25", []float64{0.4, 25}}, {"x1=25, x0=0.4", []float64{0.4, 25}}, {"x1=7", []float64{0, 7}},
+		{"", nil}, {"x1=NaN,x0=-1,y=3,x2", nil},
+	} {
+		h := &held{msg: &Message{ID: "a"}}
+		n.held["a"], n.next = h, nil
+		n.reply(replyEvent{call: &call{id: "a", ep: 1}, result: result{outcome: logic.Errored, report: x.report}})
+		if got := n.next[0].(logic.Reply).Load; !slices.Equal(got, x.want) {
+			t.Errorf("%q: load %v, want %v", x.report, got, x.want)
+		}
+	}
+	// And it comes all the way from the wire.
+	e := newEndpoint(t)
+	got := goDo(t.Context(), testCaller(), newCall(t, e.addr(), "x", patience))
+	await(t, e.calls, "call").reply(503, "Endpoint-Load-Metrics: x0=0,x1=3")
+	if r := await(t, got, "result"); r.report != "x0=0,x1=3" {
+		t.Errorf("report %q", r.report)
+	}
+}
