Ask discovery again within a drain's grace after a call that failed

What changes while no call is out counts as told, and the grace is 1 s; after a failure the sender waited 1 to 8 s, and a watch that was lost showed after 21 s only. The pause now runs from 50 ms to 0.5 s and a watch holds for 4 s. The agent is on the sender's own machine and answers at no cost.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -16,9 +16,9 @@
 )
 
 const (
-	watchHold  = 20 * time.Second       // how long a watch may wait for news
+	watchHold  = 4 * time.Second        // how long a watch may wait for news; one that is lost shows soon after
 	watchSlack = time.Second            // and how much later its answer may come; changes count as told 2 s later
-	listTime   = 6 * time.Second        // for the whole list
+	listTime   = 2 * time.Second        // for the whole list, which comes at once where it comes at all
 	emptyPause = 100 * time.Millisecond // between watches that are answered at once with nothing
 	maxList    = 4 << 20
 )
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -65,8 +65,8 @@
 	lossAhead = Second     // ours: loss of worth within this sets who goes first
 	holdHalf  = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
 	holdFull  = 0.9        // ours: share of the hold above which the least worthy are refused
-	askGap    = Second     // ours: first pause before the list is asked for again
-	askMost   = 8 * Second // ours: and the longest
+	askGap    = 50_000     // ours: first pause before the list is asked for again; what changes ...
+	askMost   = Second / 2 // ours: ... meanwhile counts as told, so the longest is under a drain's grace
 	logMost   = 200        // ours: log lines in a life
 	never     = Micros(math.MaxInt64)
 	longAgo   = Micros(math.MinInt64 / 2)
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -275,13 +275,19 @@
 		t.Fatal("did not subscribe at once")
 	}
 	r.step(1, Endpoints{Form: ListFailed})
-	if len(only[Listen](r.step(1.5, Due{}))) != 0 || len(only[Listen](r.step(2.1, Due{}))) != 1 {
-		t.Error("did not ask again after a second")
+	if len(only[Listen](r.step(1.04, Due{}))) != 0 || len(only[Listen](r.step(1.06, Due{}))) != 1 {
+		t.Error("did not ask again after 50 ms")
 	}
-	r.step(2.2, Endpoints{Form: ListFailed})
-	if len(only[Listen](r.step(3.5, Due{}))) != 0 || len(only[Listen](r.step(4.3, Due{}))) != 1 {
+	r.step(1.1, Endpoints{Form: ListFailed})
+	if len(only[Listen](r.step(1.19, Due{}))) != 0 || len(only[Listen](r.step(1.21, Due{}))) != 1 {
 		t.Error("did not back off")
 	}
+	for range 8 { // what changes between two calls counts as told: the pause stays under a drain's grace
+		r.step(2, Endpoints{Form: ListFailed})
+	}
+	if len(only[Listen](r.step(2.6, Due{}))) != 1 {
+		t.Error("a pause longer than a drain's grace allows")
+	}
 	// A whole list replaces the old one; a draining endpoint gets nothing new.
 	row := Entry{Endpoint: 3, Dest: 9, State: Draining}
 	r.step(5, Endpoints{Form: ListFull, Entries: append(list(1).Entries, row)})
