Bound the pace by a share of a told limit, which is for all senders together

Among few senders the bound is now 1.25 even shares. Among many it stays as it was: there one sender's share of a short while says little.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,6 +30,7 @@
 	paceSpan  = Second     // design: the span of the first pace, and between two halvings
 	paceSave  = Second / 2 // ours: what an idle pace saves up; more of it meets limits in bursts
 	paceCreep = 0.1        // ours: growth of the pace with each success
+	evenRoom  = 1.25       // ours: a told limit bounds the pace to this many even shares of it
 	paceFree  = 4.0        // ours: a pace this many times what is sent sets nothing any more and is dropped
 
 	badAlpha    = 0.07         // ours: weight of the newest outcome in an endpoint's share of failures
@@ -472,6 +473,11 @@
 		if s.set.Weights == WeightsRough && !l.told {
 			lim *= 1.5
 		}
+		// It is for all senders together. Among few, traffic is even enough for the share to be so; among many,
+		// one sender's share of a short while says little, and what is refused sets the pace.
+		if !s.many {
+			lim *= min(1, evenRoom/float64(s.set.Senders))
+		}
 		if r == 0 || r > lim {
 			r = lim
 		}
