Let a request that has begun come to its end at a shutdown

At SIGTERM every client's read was cut short, also that of a request of which a part had come: its client had written the last byte, perhaps, and a message whose connection ends with no answer then is lost. Such a request now ends by its own time, within the time that the shutdown has.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -167,7 +167,10 @@
 func (c *clients) shutdown(ctx context.Context) {
 	c.mu.Lock()
 	c.closing = true
-	for conn := range c.conns {
+	for conn, x := range c.conns {
+		if x.busy { // it ends by its own time: the last byte may be written already
+			continue
+		}
 		conn.SetReadDeadline(time.Now()) // wakes the reader, which looks for a request that has begun to come
 	}
 	c.mu.Unlock()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -471,6 +472,45 @@
 	}
 }
 
+// A request of which a part had come when the sender was told to stop is read to its end and answered.
+func TestHalfRequestCrossesShutdown(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := newClients(&Config{}, slog.New(slog.DiscardHandler), nil)
+	go served.serve(ln)
+	c := dial(t, ln.Addr().String())
+	io.WriteString(c.conn, "*1\r\n$4\r\n")
+	for stop := time.Now().Add(patience); ; {
+		served.mu.Lock()
+		begun := false
+		for _, x := range served.conns {
+			begun = begun || x.busy
+		}
+		served.mu.Unlock()
+		if begun {
+			break
+		}
+		if time.Now().After(stop) {
+			t.Fatal("the request does not begin")
+		}
+	}
+	ln.Close()
+	done := make(chan bool, 1)
+	go func() { served.shutdown(t.Context()); done <- true }()
+	for !served.isClosing() {
+	}
+	io.WriteString(c.conn, "PING\r\n")
+	if got := c.line(); got != "+PONG" {
+		t.Errorf("got %q", got)
+	}
+	if got := c.line(); got != "" {
+		t.Errorf("the connection goes on with %q", got)
+	}
+	await(t, done, "end of the shutdown")
+}
+
 // A probe that is asked for has its one result.
 func TestProbe(t *testing.T) {
 	n, _, _, e := world(t, 1)
