--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,6 +26,7 @@
 	Name      string
 	Listen    string
 	Discovery string
+	Operator  string // where operators call; empty for no such door
 	StateDir  string
 	Seed      uint64
 	Limits    Limits
@@ -72,7 +73,7 @@
 	}
 	cfg.StateDir = os.Getenv("BALANCER_STATE")
 	for name, field := range map[string]*string{"BALANCER_NAME": &cfg.Name, "BALANCER_LISTEN": &cfg.Listen,
-		"BALANCER_DISCOVERY": &cfg.Discovery} {
+		"BALANCER_DISCOVERY": &cfg.Discovery, "BALANCER_OPERATOR": &cfg.Operator} {
 		if v := os.Getenv(name); v != "" {
 			*field = v
 		}
@@ -89,6 +90,7 @@
 		Name      string          `json:"name"`
 		Listen    string          `json:"listen"`
 		Discovery string          `json:"discovery"`
+		Operator  string          `json:"operator"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
 		Known     List            `json:"known"`
@@ -101,7 +103,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	cfg := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Limits: in.Limits, Known: in.Known,
+	cfg := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Operator: in.Operator, Limits: in.Limits, Known: in.Known,
 		Deploy: deploy, Classes: map[string]int{}, Tenants: map[string]int{}}
 	if in.Seed != "" {
 		if cfg.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -73,11 +73,7 @@
 func (d *directory) take(l List) []logic.Entry {
 	rows := make([]logic.Entry, 0, len(l.Instances))
 	for _, in := range l.Instances {
-		id, ok := d.ids[in.ID]
-		if !ok {
-			id = logic.EndpointID(len(d.ids) + 1)
-			d.ids[in.ID] = id
-		}
+		id := d.number(in.ID)
 		row := logic.Entry{Endpoint: id, Zone: slices.Index(d.zones, in.Zone), Dest: in.Dest, Nominal: in.Weight,
 			Kind: slices.IndexFunc(d.kinds, func(k logic.Kind) bool { return k.Name == in.Kind })}
 		switch in.Lifecycle {
@@ -96,6 +92,16 @@
 	return rows
 }
 
+// number is the module's number for a name, a new one if the name is new.
+func (d *directory) number(name string) logic.EndpointID {
+	id, ok := d.ids[name]
+	if !ok {
+		id = logic.EndpointID(len(d.ids) + 1)
+		d.ids[name] = id
+	}
+	return id
+}
+
 // discovery asks for the list. A watch runs from listen until a call fails.
 type discovery struct {
 	client  *http.Client
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"hash/crc32"
 	"io"
+	"maps"
 	"os"
 	"path/filepath"
 	"slices"
@@ -56,6 +57,8 @@
 	opDone                  // delivered, or over without our word
 	opEnd                   // ended by us; the notice is owed
 	opNoticed               // the notice is confirmed
+	opTakeOut               // an operator has taken an endpoint out; the id is the endpoint's
+	opPutBack               // and put it back
 )
 
 // record is one line of the journal.
@@ -94,13 +97,14 @@
 	live    int64 // rough size of what a rewrite keeps
 	seq     int
 	entries map[string]*Entry
-	dirty   bool // the file lacks something that entries has: rewrite before the next append
+	out     map[string]bool // endpoints that an operator has taken out
+	dirty   bool            // the file lacks something that entries has: rewrite before the next append
 }
 
 // OpenJournal replays the journal in dir, cuts a torn end off and makes it ready
 // for appending. Together its files stay under diskBytes.
 func OpenJournal(dir string, diskBytes int64) (*Journal, error) {
-	j := &Journal{dir: dir, entries: map[string]*Entry{}, limit: min(diskBytes*45/100, mostFile)}
+	j := &Journal{dir: dir, entries: map[string]*Entry{}, out: map[string]bool{}, limit: min(diskBytes*45/100, mostFile)}
 	if diskBytes <= 0 {
 		j.limit = mostFile
 	}
@@ -153,6 +157,14 @@
 
 // apply brings the entries up to date with a record.
 func (j *Journal) apply(rec record) {
+	switch rec.Op {
+	case opTakeOut:
+		j.out[rec.ID] = true
+		return
+	case opPutBack:
+		delete(j.out, rec.ID)
+		return
+	}
 	if rec.Op == opAccept {
 		if rec.Entry == nil || j.entries[rec.Entry.ID] != nil {
 			return
@@ -196,7 +208,7 @@
 
 // Append writes records in one go, so that a process that dies leaves all of the
 // earlier ones before any later one. On an error none of them is in the file:
-// the caller must not act on a message taken on or a send. What only records the
+// the caller must not act on a message taken on, a send or an operator's word. What only records the
 // past counts all the same, and gets into the file with the next rewrite.
 func (j *Journal) Append(recs []record) error {
 	if len(recs) == 0 {
@@ -204,9 +216,13 @@
 	}
 	err := j.write(recs)
 	for _, rec := range recs {
-		if err == nil || rec.Op != opAccept && rec.Op != opSend {
-			j.apply(rec)
+		switch rec.Op {
+		case opAccept, opSend, opTakeOut, opPutBack:
+			if err != nil {
+				continue
+			}
 		}
+		j.apply(rec)
 	}
 	if err != nil {
 		j.dirty = true
@@ -259,6 +275,12 @@
 // the new one is whole.
 func (j *Journal) Compact() error {
 	var b []byte
+	for _, id := range j.TakenOut() {
+		var err error
+		if b, err = frame(b, record{Op: opTakeOut, ID: id}); err != nil {
+			return err
+		}
+	}
 	for _, e := range j.Entries() {
 		var err error
 		if b, err = frame(b, record{Op: opAccept, Entry: e}); err != nil {
@@ -295,6 +317,9 @@
 	return list
 }
 
+// TakenOut lists the endpoints that operators have taken out.
+func (j *Journal) TakenOut() []string { return slices.Sorted(maps.Keys(j.out)) }
+
 // Entry returns what is known of a message; nil if nothing is owed for it.
 func (j *Journal) Entry(id string) *Entry { return j.entries[id] }
 
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -202,3 +202,18 @@
 		t.Errorf("after the rewrite: %v", k.entries)
 	}
 }
+
+// What operators have taken out stands after a rewrite and at the next start; what they put back does not.
+func TestJournalKeepsTakenOut(t *testing.T) {
+	dir := t.TempDir()
+	j := openJournal(t, dir, 3e6)
+	mustAppend(t, j, record{Op: opTakeOut, ID: "s-1"}, record{Op: opTakeOut, ID: "s-2"}, record{Op: opPutBack, ID: "s-1"})
+	for _, how := range []string{"appended", "rewritten"} {
+		if got := fmt.Sprint(openJournal(t, dir, 3e6).TakenOut()); got != "[s-2]" {
+			t.Errorf("%s: taken out %v", how, got)
+		}
+		if err := j.Compact(); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -61,7 +61,9 @@
 	disc    *discovery
 	notices *notices
 	clients *clients
+	door    *door // nil where no operator address is given
 	events  chan any
+	orders  chan order
 	ready   chan net.Addr // gets the address once clients are served
 
 	// What follows belongs to the loop.
@@ -93,10 +95,13 @@
 	}
 	n := &Node{cfg: cfg, log: log, journal: journal, sender: sender, dir: newDirectory(cfg),
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
-		events: make(chan any, eventRoom), ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
+		events: make(chan any, eventRoom), orders: make(chan order), ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
 	n.disc = newDiscovery(cfg.Discovery, log, n.events)
 	n.notices = newNotices(cfg.Discovery, log, n.events)
 	n.clients = newClients(cfg, log, n.events)
+	if cfg.Operator != "" {
+		n.door = newDoor(log, sockets, n.orders)
+	}
 	return n, nil
 }
 
@@ -117,6 +122,11 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer n.journal.Close()
+	endDoor, err := n.openDoor(work)
+	if err != nil {
+		return err
+	}
+	defer endDoor()
 	n.resume()
 	n.step(work) // what the journal holds comes first: its ends are due
 	ln, err := net.Listen("tcp", n.cfg.Listen)
@@ -128,6 +138,7 @@
 	}
 	go n.notices.run(work)
 	go n.clients.serve(ln)
+	n.admit(nil)
 	n.log.Info("ready", "name", n.cfg.Name, "addr", ln.Addr().String(), "held", len(n.held))
 	n.ready <- ln.Addr()
 	served := make(chan struct{}) // closed when no client is left
@@ -139,6 +150,7 @@
 			return
 		}
 		at := time.Now()
+		n.admit(errStopping)
 		n.events <- closingEvent{stopSends}
 		time.Sleep(acceptOn)
 		ln.Close()
@@ -152,6 +164,30 @@
 	return n.loop(work, served, stopped)
 }
 
+// openDoor lets operators call, where an address for them is given, until the returned function has been called.
+func (n *Node) openDoor(work context.Context) (end func(), err error) {
+	if n.door == nil {
+		return func() {}, nil
+	}
+	ln, err := net.Listen("tcp", n.cfg.Operator)
+	if err != nil {
+		return nil, fmt.Errorf("operators' door: %w", err)
+	}
+	n.door.addr = ln.Addr()
+	ctx, cancel := context.WithCancel(work)
+	closed := make(chan struct{})
+	go func() { defer close(closed); n.door.serve(ctx, ln) }()
+	n.log.Info("operators' door", "addr", ln.Addr().String())
+	return func() { cancel(); <-closed }, nil
+}
+
+// admit tells operators that this process can serve, or why it cannot.
+func (n *Node) admit(err error) {
+	if n.door != nil {
+		n.door.setReady(err)
+	}
+}
+
 // loop owns the module and all of the state: it takes what has come, lets the
 // module step, writes the journal and acts, at most once a tick.
 func (n *Node) loop(work context.Context, served, stopped <-chan struct{}) error {
@@ -168,6 +204,8 @@
 			return nil
 		}
 		select {
+		case o := <-n.orders:
+			n.obey(o)
 		case ev := <-n.events:
 			n.take(ev)
 		case <-sweep.C:
@@ -187,6 +225,8 @@
 		}
 		for more := true; more; {
 			select {
+			case o := <-n.orders:
+				n.obey(o)
 			case ev := <-n.events:
 				n.take(ev)
 			default:
@@ -216,6 +256,9 @@
 		n.disc.gen, n.disc.started = n.cfg.Known.Generation, true
 		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.take(n.cfg.Known)})
 	}
+	for _, id := range n.journal.TakenOut() {
+		n.next = append(n.next, logic.TakeOut{Endpoint: n.dir.number(id)})
+	}
 	now := time.Now().UnixMicro()
 	for _, e := range n.journal.Entries() {
 		if e.End != nil {
--- /dev/null
+++ b/internal/node/operators.go
@@ -0,0 +1,242 @@
+package node
+
+import (
+	"bufio"
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"ravenmount/logic"
+)
+
+const (
+	orderLine  = 256                    // bytes of a call, with its end of line
+	orderTime  = 2 * time.Second        // for a caller to send its line
+	orderWait  = 800 * time.Millisecond // for the loop to carry it out: an answer is due within a second
+	orderConns = 24                     // callers at once
+)
+
+var (
+	errStarting = errors.New("starting")
+	errStopping = errors.New("stopping")
+)
+
+// order is an operator's word on an endpoint. The loop carries it out and says why not, if it cannot.
+type order struct {
+	back   bool // put it back, not take it out
+	id     string
+	answer chan<- error
+}
+
+// door answers operators: one line in and one line out for each connection. It opens before the sender can serve, so
+// that ready can say no.
+type door struct {
+	log     *slog.Logger
+	orders  chan<- order
+	most    int
+	addr    net.Addr // set before the sender is ready
+	mu      sync.Mutex
+	ready   error // why this process cannot serve; nil once it can
+	callers map[net.Conn]*operator
+	wg      sync.WaitGroup
+}
+
+// operator is a caller at the door.
+type operator struct {
+	since time.Time
+	heard bool // its line has come
+}
+
+func newDoor(log *slog.Logger, sockets int, orders chan<- order) *door {
+	return &door{log: log, orders: orders, most: min(orderConns, max(sockets/16, 4)), ready: errStarting,
+		callers: map[net.Conn]*operator{}}
+}
+
+// setReady says from now on that this process can serve, or why it cannot.
+func (d *door) setReady(err error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ready = err
+}
+
+// whyNot is why this process cannot serve; nil if it can.
+func (d *door) whyNot() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.ready
+}
+
+// serve answers callers until ctx is over and all have left.
+func (d *door) serve(ctx context.Context, ln net.Listener) {
+	defer d.wg.Wait()
+	defer context.AfterFunc(ctx, func() { ln.Close(); d.dismiss() })()
+	for {
+		conn, err := ln.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			d.log.Warn("operators' door", "err", err)
+			time.Sleep(acceptPause) // out of descriptors, say: one that closes makes room
+			continue
+		}
+		if !d.enter(conn) {
+			conn.Close()
+			continue
+		}
+		d.wg.Go(func() {
+			d.handle(ctx, conn)
+			d.leave(conn)
+		})
+	}
+}
+
+// enter counts a caller in. With the table full, the one that has been silent longest makes room: silent callers
+// must not keep others out.
+func (d *door) enter(conn net.Conn) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.callers) >= d.most {
+		var oldest net.Conn
+		for c, x := range d.callers {
+			if !x.heard && (oldest == nil || x.since.Before(d.callers[oldest].since)) {
+				oldest = c
+			}
+		}
+		if oldest == nil {
+			return false // all wait for their answers, which come soon
+		}
+		delete(d.callers, oldest)
+		oldest.Close() // its handler wakes and ends
+	}
+	d.callers[conn] = &operator{since: time.Now()}
+	return true
+}
+
+// heard notes that a caller's line has come; false if the caller had to make room.
+func (d *door) heard(conn net.Conn) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	x := d.callers[conn]
+	if x != nil {
+		x.heard = true
+	}
+	return x != nil
+}
+
+func (d *door) leave(conn net.Conn) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.callers, conn)
+	conn.Close()
+}
+
+// dismiss wakes those that have not sent their line.
+func (d *door) dismiss() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for conn, x := range d.callers {
+		if !x.heard {
+			conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+func (d *door) handle(ctx context.Context, conn net.Conn) {
+	conn.SetDeadline(time.Now().Add(orderTime))
+	line, err := bufio.NewReaderSize(io.LimitReader(conn, orderLine), orderLine).ReadString('\n')
+	if !d.heard(conn) {
+		return
+	}
+	switch {
+	case err == nil:
+		err = d.answer(ctx, strings.Fields(line))
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		err = errors.New("no call came in time")
+	case len(line) >= orderLine:
+		err = errors.New("the call is too long")
+	default: // half a call might name another endpoint than the whole one
+		err = errors.New("the call has no end of line")
+	}
+	said := "ok\n"
+	if err != nil {
+		said = "fail " + err.Error() + "\n"
+	}
+	conn.SetWriteDeadline(time.Now().Add(orderTime))
+	if _, err := io.WriteString(conn, said); err != nil {
+		d.log.Warn("operators' door", "err", err)
+	}
+}
+
+// answer carries out a call and says why not, if it cannot.
+func (d *door) answer(ctx context.Context, words []string) error {
+	if len(words) == 0 {
+		return errors.New("the call is empty")
+	}
+	want := 2
+	if words[0] == "ready" {
+		want = 1
+	}
+	switch words[0] {
+	case "ready", "disable-server", "enable-server":
+		if len(words) != want {
+			return fmt.Errorf("%s wants %d words", words[0], want)
+		}
+	default:
+		return errors.New("unknown call; there are ready, disable-server ID and enable-server ID")
+	}
+	if want == 1 {
+		return d.whyNot()
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderWait)
+	defer cancel()
+	answer := make(chan error, 1) // the loop never waits for us
+	select {
+	case d.orders <- order{back: words[0] == "enable-server", id: words[1], answer: answer}:
+	case <-ctx.Done():
+		return cmp.Or(d.whyNot(), errors.New("the sender is too busy"))
+	}
+	select {
+	case err := <-answer:
+		d.log.Info("operator", "call", words[0], "id", words[1], "err", err)
+		return err
+	case <-ctx.Done():
+		return errors.New("the sender is too busy; the call may hold all the same")
+	}
+}
+
+// obey carries out an operator's word. It holds once it is in the journal, so that it outlives the process; the
+// module hears of it before anything else happens.
+func (n *Node) obey(o order) {
+	ep, known := n.dir.ids[o.id]
+	if !known {
+		o.answer <- errors.New("no such endpoint")
+		return
+	}
+	if out := n.journal.out[o.id]; out != o.back {
+		o.answer <- nil // it is so already
+		return
+	}
+	rec, ev := record{Op: opTakeOut, ID: o.id}, logic.Event(logic.TakeOut{Endpoint: ep})
+	if o.back {
+		rec, ev = record{Op: opPutBack, ID: o.id}, logic.PutBack{Endpoint: ep}
+	}
+	if err := n.journal.Append([]record{rec}); err != nil {
+		n.log.Error("journal", "err", err)
+		o.answer <- errors.New("not written to the journal")
+		return
+	}
+	if !o.back {
+		n.hold(func(x logic.EndpointID) bool { return x == ep })
+	}
+	n.next = append(n.next, ev)
+	o.answer <- nil
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -79,8 +79,8 @@
 		return nil, err
 	}
 	s := &Sender{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: math.MinInt64, askAt: never, askGap: askGap,
-		eps: map[EndpointID]*endpoint{}, dests: map[int64]*dest{}, msgs: map[string]*msg{},
-		keys: map[string]*keyLine{}, turned: map[int]float64{}}
+		eps: map[EndpointID]*endpoint{}, banned: map[EndpointID]bool{}, dests: map[int64]*dest{},
+		msgs: map[string]*msg{}, keys: map[string]*keyLine{}, turned: map[int]float64{}}
 	if set.OnRequest {
 		s.askAt = math.MinInt64
 	}
@@ -164,6 +164,31 @@
 	}
 }
 
+// ban takes an endpoint out at an operator's word. Only unban lifts it: no list, no return of the endpoint.
+func (s *Sender) ban(id EndpointID) {
+	if s.banned[id] {
+		return
+	}
+	s.banned[id] = true
+	s.log("endpoint %d taken out by an operator", id)
+	s.do(Release{id})
+}
+
+// unban puts it back. Its process may have been restarted meanwhile: it starts over, as cold as after an
+// outage. One that seems out still gets its single trial first, at once.
+func (s *Sender) unban(id EndpointID) {
+	if !s.banned[id] {
+		return
+	}
+	delete(s.banned, id)
+	s.log("endpoint %d put back by an operator", id)
+	if e := s.eps[id]; e != nil {
+		e.fails, e.fulls, e.bad, e.slow = 0, 0, min(e.bad, s.stray), 0
+		s.chill(e)
+		e.backAt, e.trialAt, e.trialGap = s.now, s.now, 0
+	}
+}
+
 // subscribe asks for the list where it comes only on request.
 func (s *Sender) subscribe() {
 	if s.askAt == never {
@@ -318,6 +343,8 @@
 	switch {
 	case e.state != Ready || m.over || m.out != nil: // drain; one attempt at a time
 		return false, never
+	case s.banned[e.id]: // an operator has taken it out
+		return false, never
 	case s.now < max(e.lane.until, m.rest): // told wait
 		return false, max(e.lane.until, m.rest)
 	case s.set.MaxTries > 0 && m.tries >= s.set.MaxTries:
@@ -807,6 +834,9 @@
 // failed notes a sign of an outage at e: an error, a reset, no connection or no answer. Networks break single
 // calls everywhere, which tells nothing of one endpoint: only a run too long for chance is an outage.
 func (s *Sender) failed(e *endpoint, how string) {
+	if s.banned[e.id] { // operators restart it meanwhile: their doing, no outage
+		return
+	}
 	e.fails++
 	stale := how == "refuses connections" && e.lastOK < s.now-answered && s.chance(e) < doubtOdds
 	e.lastBad = s.now
@@ -842,6 +872,11 @@
 // takeOut takes an endpoint for out: from now on single trials, and after its return a budget.
 func (s *Sender) takeOut(e *endpoint, how string) {
 	s.suspect(e, how)
+	s.chill(e)
+}
+
+// chill counts e as cold: budgeted until some time after its return.
+func (s *Sender) chill(e *endpoint) {
 	if !e.cold {
 		e.cold = true
 		e.dest.came, e.dest.downAt = 1, s.now
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -810,3 +810,61 @@
 		t.Errorf("%d calls in three seconds of a limit of 20 that two senders share", sent)
 	}
 }
+
+// What an operator takes out gets nothing, whatever the list says, and comes back cold.
+func TestTakenOut(t *testing.T) {
+	set := base()
+	set.Weights = WeightsNominal
+	r := newRig(t, set)
+	list := func(n int) Endpoints {
+		ev := list(n)
+		for i := range ev.Entries {
+			ev.Entries[i].Nominal = 100
+		}
+		return ev
+	}
+	r.step(0, TakeOut{Endpoint: 1}, list(2)) // not listed yet
+	send := func(at float64, evs ...Event) (to []EndpointID) {
+		t.Helper()
+		c := r.call(0)
+		for _, a := range only[CallOut](r.step(at, append(evs, c)...)) {
+			to = append(to, a.Endpoint)
+			r.step(at, answer(a.ID, a.Endpoint, 0, Completed))
+		}
+		return to
+	}
+	for i := range 4 {
+		if to := send(0.5+float64(i), list(2)); len(to) != 1 || to[0] != 2 {
+			t.Fatalf("sent to %v", to)
+		}
+	}
+	gone := Endpoints{Entries: []Entry{{Endpoint: 1, Dest: 9, State: Gone}}}
+	if to := send(5, gone, Endpoints{Entries: []Entry{{Endpoint: 1, Dest: 9}}}); len(to) != 1 || to[0] != 2 {
+		t.Fatalf("after a return sent to %v", to)
+	}
+	r.step(6, TakeOut{Endpoint: 1}, PutBack{Endpoint: 1})
+	if e := r.s.eps[1]; !e.cold || e.suspect || e.backAt != sec(6) {
+		t.Errorf("put back: cold %v, suspect %v, back at %v", e.cold, e.suspect, e.backAt)
+	}
+	got := map[EndpointID]bool{}
+	for i := range 2 {
+		for _, ep := range send(7 + float64(i)) {
+			got[ep] = true
+		}
+	}
+	if !got[1] {
+		t.Errorf("nothing sent to what was put back: %v", got)
+	}
+}
+
+// With its one endpoint taken out a message waits, and one whose time runs out is returned.
+func TestTakenOutAll(t *testing.T) {
+	r := newRig(t, base())
+	c := r.call(2)
+	if acts := r.step(0, list(1), TakeOut{Endpoint: 1}, c); len(only[CallOut](acts)) != 0 {
+		t.Fatal("sent")
+	}
+	if acts := r.step(1, PutBack{Endpoint: 1}); len(only[CallOut](acts)) != 1 {
+		t.Error("not sent once put back")
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -129,6 +129,7 @@
 	step      int
 	out       []Action
 	eps       map[EndpointID]*endpoint
+	banned    map[EndpointID]bool // taken out by an operator
 	dests     map[int64]*dest
 	order     []*dest // dests, in the order in which they became known
 	msgs      map[string]*msg
@@ -365,7 +366,7 @@
 // elsewhere says whether a sibling of e seems well.
 func (s *Sender) elsewhere(e *endpoint) bool {
 	for _, x := range e.dest.eps {
-		if x != e && !x.suspect && x.state == Ready {
+		if x != e && !x.suspect && x.state == Ready && !s.banned[x.id] {
 			return true
 		}
 	}
@@ -400,6 +401,10 @@
 				s.cancel(m.out)
 			}
 		}
+	case TakeOut:
+		s.ban(ev.Endpoint)
+	case PutBack:
+		s.unban(ev.Endpoint)
 	case Closing:
 		s.closeAt = s.now + ev.Left
 	case Due:
--- a/logic/types.go
+++ b/logic/types.go
@@ -176,6 +176,13 @@
 // not to be begun.
 type Closing struct{ Left Micros }
 
+// TakeOut says that an operator has taken an endpoint out: nothing is sent there until the PutBack, whatever
+// the list says. The endpoint need not be listed.
+type TakeOut struct{ Endpoint EndpointID }
+
+// PutBack ends that. The endpoint counts as cold from now on: it may have been restarted meanwhile.
+type PutBack struct{ Endpoint EndpointID }
+
 // Started says that a stream has begun to flow: nothing more can be done for
 // the message.
 type Started struct {
@@ -231,6 +238,8 @@
 func (Due) isEvent()          {}
 func (HealthResult) isEvent() {}
 func (Closing) isEvent()      {}
+func (TakeOut) isEvent()      {}
+func (PutBack) isEvent()      {}
 
 // Action is something to do: one of the types below.
 type Action interface{ isAction() }
