--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -35,6 +35,7 @@
 	ep      logic.EndpointID
 	addr    string
 	giveUp  time.Duration
+	at      time.Time // of its start
 	writeBy time.Time // not to be written after this; zero for no such time
 	request *http.Request
 	state   *atomic.Int32
@@ -45,8 +46,13 @@
 	callConnecting int32 = iota
 	callWritten          // from here on it may have run
 	callHeld             // it is not to be written
+	callSent             // after callWritten: all of it is
+	callParked           // after callSent: it is being set aside
 )
 
+// errParked is the cause by which a call under way is set aside for another process, its connection as it is.
+var errParked = errors.New("set aside")
+
 // unanswered names, in the tally, the ends of a call that no answer came to.
 var unanswered = map[logic.Outcome]string{logic.Severed: "broken", logic.Overdue: "timed_out", logic.Recalled: "called_off"}
 
@@ -56,6 +62,7 @@
 	wait    time.Duration // told by a refusal
 	over    bool          // the endpoint says that the message is over
 	report  string        // of its load, as it stands in the answer
+	parked  *idleConn     // set aside, with no outcome yet: what becomes of it is for who goes on with it
 }
 
 // idleConn is a connection with no call on it.
@@ -108,7 +115,7 @@
 
 // do makes a call. When ctx is cancelled the call is called off.
 func (c *caller) do(ctx context.Context, in *call) result {
-	deadline := time.Now().Add(in.giveUp)
+	deadline := in.at.Add(in.giveUp)
 	conn, err := c.connect(ctx, in, deadline)
 	if !in.writeBy.IsZero() && time.Now().After(in.writeBy) {
 		in.state.CompareAndSwap(callConnecting, callHeld)
@@ -123,42 +130,61 @@
 		c.note("not_connected")
 		return result{outcome: logic.RefusedConn}
 	}
-	keep := false
-	defer func() {
-		if !keep || !c.put(in.ep, conn) {
-			conn.Close()
-		}
-	}()
 	conn.SetDeadline(deadline)
+	quiet := wakeOn(ctx, conn)
+	var b bytes.Buffer
+	if err := in.request.Write(&b); err != nil {
+		quiet()
+		conn.Close()
+		return result{outcome: logic.RefusedConn}
+	}
+	_, err = conn.Write(b.Bytes())
+	quiet()
+	if err != nil {
+		conn.Close()
+		c.note("not_written")
+		return result{outcome: logic.RefusedConn} // its last byte was not written
+	}
+	in.state.Store(callSent)
+	return c.await(ctx, in, conn, deadline)
+}
+
+// wakeOn ends what is read or written on conn once ctx is cancelled, until the returned function has been called.
+func wakeOn(ctx context.Context, conn net.Conn) (quiet func()) {
 	woken := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		conn.SetDeadline(time.Unix(1, 0))
 		close(woken)
 	})
-	quiet := func() { // from here on no cancel touches the connection
+	return func() {
 		if !stop() {
 			<-woken
 		}
 	}
-	var b bytes.Buffer
-	if err := in.request.Write(&b); err != nil {
-		quiet()
-		return result{outcome: logic.RefusedConn}
-	}
-	if _, err := conn.Write(b.Bytes()); err != nil {
-		quiet()
-		c.note("not_written")
-		return result{outcome: logic.RefusedConn} // its last byte was not written
-	}
+}
+
+// await waits for the answer to a call that has been written.
+func (c *caller) await(ctx context.Context, in *call, conn *idleConn, deadline time.Time) (r result) {
+	keep := false
+	defer func() {
+		if r.parked == nil && (!keep || !c.put(in.ep, conn)) {
+			conn.Close()
+		}
+	}()
+	conn.SetDeadline(deadline)
+	quiet := wakeOn(ctx, conn)
 	conn.limit.N = maxAnswer
-	_, err = conn.r.Peek(1)
+	_, err := conn.r.Peek(1)
 	quiet()
+	if isTimeout(err) && errors.Is(context.Cause(ctx), errParked) && time.Now().Before(deadline) {
+		return result{parked: conn}
+	}
 	given := logic.Severed
 	if isTimeout(err) {
 		// Given up. The endpoint is told by the end of our sending, and given a moment to see it: a next call
 		// must not meet this one. An answer that is on its way counts.
 		given = logic.Overdue
-		if ctx.Err() != nil {
+		if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errParked) {
 			given = logic.Recalled
 		}
 		if t, ok := conn.Conn.(*net.TCPConn); ok {
@@ -190,7 +216,7 @@
 	if given == logic.Severed {
 		keep = c.finish(conn, resp)
 	}
-	r := outcomeOf(resp)
+	r = outcomeOf(resp)
 	r.report = resp.Header.Get("Endpoint-Load-Metrics")
 	return r
 }
@@ -218,8 +244,12 @@
 	if err != nil {
 		return nil, err
 	}
+	return newIdleConn(conn, in.addr), nil
+}
+
+func newIdleConn(conn net.Conn, addr string) *idleConn {
 	limit := &io.LimitedReader{R: conn}
-	return &idleConn{Conn: conn, r: bufio.NewReader(limit), limit: limit, addr: in.addr}, nil
+	return &idleConn{Conn: conn, r: bufio.NewReader(limit), limit: limit, addr: addr}
 }
 
 // finish reads the rest of an answer and says whether the connection can be used again.
@@ -311,6 +341,15 @@
 	return true
 }
 
+// spare takes all idle connections out.
+func (c *caller) spare() map[logic.EndpointID][]*idleConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := c.idle
+	c.idle, c.count = map[logic.EndpointID][]*idleConn{}, 0
+	return all
+}
+
 // kept is the number of idle connections.
 func (c *caller) kept() int {
 	c.mu.Lock()
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -20,7 +20,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &call{id: m.ID, ep: 1, addr: addr, giveUp: giveUp, request: req, state: new(atomic.Int32)}
+	return &call{id: m.ID, ep: 1, addr: addr, at: time.Now(), giveUp: giveUp, request: req, state: new(atomic.Int32)}
 }
 
 func testCaller() *caller { return newCaller(time.Second, 10*time.Second, 4, 16) }
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"log/slog"
 	"net"
 	"os"
@@ -46,6 +47,15 @@
 	late    int // connections closed for want of a whole request in time, since the last report
 	closing bool
 	wg      sync.WaitGroup
+
+	// While a handover is being made:
+	frozen    bool
+	sealed    bool          // the parcel is packed: nothing more goes with it
+	decided   chan struct{} // closed once it is known who goes on
+	accepting bool          // at any time: serve is at work
+	pending   int           // at any time: requests that the loop has not answered
+	parked    []net.Conn    // connections that wait for their next request, with no reader
+	next      string        // after it, where the new process serves clients
 }
 
 // standing is what a connection has shown so far.
@@ -66,10 +76,12 @@
 
 // serve accepts connections until the listener is closed.
 func (c *clients) serve(ln net.Listener) {
+	c.setAccepting(true)
+	defer c.setAccepting(false)
 	for {
 		conn, err := ln.Accept()
 		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
+			if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) { // a handover wakes it
 				return
 			}
 			c.log.Warn("accept", "err", err)
@@ -80,26 +92,188 @@
 		ok := !c.closing && (len(c.conns) < c.most || c.makeRoom())
 		if ok {
 			c.conns[conn] = &standing{since: time.Now()}
-			c.wg.Add(1)
+			c.start(conn, time.Now().Add(requestTime)) // a peer is owed an answer or an end soon after it connects
 		} else {
 			c.away++
 		}
 		c.mu.Unlock()
 		if !ok {
 			conn.Close()
-			continue
 		}
-		go func() {
-			defer c.wg.Done()
-			c.handle(conn)
-			c.mu.Lock()
-			delete(c.conns, conn)
+	}
+}
+
+// start reads requests from conn; first is the time by which the first one must have come, zero if one has come
+// before. The caller holds c.mu.
+func (c *clients) start(conn net.Conn, first time.Time) {
+	c.wg.Go(func() {
+		if c.handle(conn, first) {
+			return // parked
+		}
+		c.mu.Lock()
+		delete(c.conns, conn)
+		c.mu.Unlock()
+		conn.Close()
+	})
+}
+
+func (c *clients) setAccepting(on bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accepting = on
+}
+
+// freeze brings connections to rest for a handover: those that wait for a request are parked, with what has come on
+// them left unread. It does not wait for that.
+func (c *clients) freeze() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.frozen, c.sealed, c.decided, c.parked = true, false, make(chan struct{}), nil
+	for conn, x := range c.conns {
+		if !x.busy {
+			conn.SetReadDeadline(time.Unix(1, 0))
+		}
+	}
+}
+
+// frozenAll says whether all connections are at rest; those that have half a request, or wait to write, do not count
+// if late is true. Once it has said yes, nothing more is parked.
+func (c *clients) frozenAll(late bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	rest := len(c.parked)
+	for _, x := range c.conns {
+		if x.busy && late {
+			rest++
+		}
+	}
+	if c.accepting || c.pending > 0 || rest < len(c.conns) {
+		return false
+	}
+	c.sealed = true
+	return true
+}
+
+// waiting lists the parked connections.
+func (c *clients) waiting() ([]net.Conn, []parcelClient) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var states []parcelClient
+	for _, conn := range c.parked {
+		x := c.conns[conn]
+		states = append(states, parcelClient{x.since.UnixMicro(), x.proven})
+	}
+	return c.parked, states
+}
+
+// adopt serves a connection that another process has handed over.
+func (c *clients) adopt(conn net.Conn, from parcelClient) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.conns[conn] = &standing{since: time.UnixMicro(from.Since), proven: from.Proven}
+	c.start(conn, c.firstBy(conn))
+}
+
+// firstBy is the time by which the first request must have come. The caller holds c.mu.
+func (c *clients) firstBy(conn net.Conn) time.Time {
+	if x := c.conns[conn]; !x.proven {
+		return x.since.Add(requestTime)
+	}
+	return time.Time{}
+}
+
+// thaw goes on as before: nobody has taken over.
+func (c *clients) thaw(parked []net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.frozen, c.sealed = false, false
+	close(c.decided)
+	for _, conn := range parked {
+		c.start(conn, c.firstBy(conn))
+	}
+}
+
+// handed gives up the connections that went to the process that serves at next. What is left here comes to its end
+// as at a shutdown, and requests go to that process.
+func (c *clients) handed(next string, gone, left []net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.frozen, c.closing, c.next = false, true, next
+	close(c.decided)
+	for _, conn := range gone {
+		conn.Close()
+		delete(c.conns, conn)
+	}
+	for _, conn := range left {
+		c.start(conn, c.firstBy(conn))
+	}
+}
+
+// park sets conn aside for a handover; if it is too late for that, it waits until it is known who goes on. With no
+// handover under way both are false.
+func (c *clients) park(conn net.Conn) (parked, again bool) {
+	c.mu.Lock()
+	x, decided := c.conns[conn], c.decided
+	switch {
+	case x == nil || x.evict || !c.frozen:
+		c.mu.Unlock()
+		return false, false
+	case !c.sealed:
+		c.parked = append(c.parked, conn)
+		c.mu.Unlock()
+		return true, false
+	}
+	c.mu.Unlock()
+	<-decided
+	return false, true
+}
+
+// enter counts a request in, and says where it goes: to the loop if next is empty. During a handover it waits until
+// that is known. leave must follow if it is the loop.
+func (c *clients) enter() (next string) {
+	for {
+		c.mu.Lock()
+		if !c.frozen || !c.sealed {
+			if c.next == "" {
+				c.pending++
+			}
 			c.mu.Unlock()
-			conn.Close()
-		}()
+			return c.next
+		}
+		decided := c.decided
+		c.mu.Unlock()
+		<-decided
 	}
 }
 
+func (c *clients) leave() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pending--
+}
+
+// passOn hands a request to the process that has taken over, as a client of it.
+func passOn(next string, args [][]byte) string {
+	conn, err := net.DialTimeout("tcp", next, lastRequest)
+	if err != nil {
+		return busy(0)
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(answerTime))
+	b := fmt.Appendf(nil, "*%d\r\n", len(args))
+	for _, a := range args {
+		b = fmt.Appendf(b, "$%d\r\n%s\r\n", len(a), a)
+	}
+	if _, err := conn.Write(b); err != nil {
+		return busy(0) // not all of it is written, so it is not taken on
+	}
+	line, err := bufio.NewReaderSize(io.LimitReader(conn, maxRest), maxRest).ReadString('\n')
+	if err != nil {
+		return answerFailed
+	}
+	return line
+}
+
 // makeRoom closes the connection that is the least loss: the longest idle one, or else the one that has gone
 // longest without its first whole request. Its reader wakes and ends; until then the table is one over. The caller
 // holds c.mu.
@@ -139,7 +313,7 @@
 	if x == nil || x.evict {
 		return false
 	}
-	if x.busy = busy; c.closing && !busy {
+	if x.busy = busy; (c.closing || c.frozen) && !busy {
 		by = time.Now() // wakes the reader, which looks for a request that has begun to come
 	}
 	conn.SetReadDeadline(by)
@@ -188,30 +362,45 @@
 	return c.closing
 }
 
-// waitRequest waits for the first byte of a request; false ends the connection.
-func (c *clients) waitRequest(conn net.Conn, r *bufio.Reader) bool {
+// waitRequest waits for the first byte of a request; an error ends the connection, or parks it.
+func (c *clients) waitRequest(conn net.Conn, r *bufio.Reader) error {
 	_, err := r.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) && c.isClosing() {
 		// A request may have come just before: it is answered, for its client counts on that.
 		if alive, data := peek(conn); !alive || !data {
-			return false
+			return err
 		}
 		conn.SetReadDeadline(time.Now().Add(lastRequest))
 		_, err = r.Peek(1)
 	}
-	return err == nil
+	return err
 }
 
-func (c *clients) handle(conn net.Conn) {
+// handle serves conn until it ends or, which it says, is parked for a handover.
+func (c *clients) handle(conn net.Conn, first time.Time) (parked bool) {
 	r := bufio.NewReader(conn)
-	first := time.Now().Add(requestTime) // a peer is owed an answer or an end soon after it connects
 	idle := first
+	if first.IsZero() {
+		idle = time.Now().Add(idleClient)
+	}
 	for {
-		if !c.await(conn, false, idle) || !c.waitRequest(conn, r) {
+		if !c.await(conn, false, idle) {
+			return false
+		}
+		if err := c.waitRequest(conn, r); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				parked, again := c.park(conn)
+				if parked {
+					return true
+				}
+				if again {
+					continue
+				}
+			}
 			if !first.IsZero() && !time.Now().Before(first) {
 				c.tooLate()
 			}
-			return
+			return false
 		}
 		by := time.Now().Add(requestTime)
 		if !first.IsZero() {
@@ -221,7 +410,7 @@
 			by = time.Now().Add(lastRequest)
 		}
 		if !c.await(conn, true, by) {
-			return
+			return false
 		}
 		args, err := readCommand(r)
 		if err != nil {
@@ -232,12 +421,12 @@
 			case errors.Is(err, os.ErrDeadlineExceeded):
 				c.tooLate()
 			}
-			return
+			return false
 		}
 		answer := c.answer(args)
 		conn.SetWriteDeadline(time.Now().Add(answerTime))
 		if _, err := conn.Write([]byte(answer)); err != nil {
-			return
+			return false
 		}
 		c.served(conn)
 		first, idle = time.Time{}, time.Now().Add(idleClient)
@@ -257,6 +446,10 @@
 		if err != nil {
 			return "-ERR " + err.Error() + "\r\n"
 		}
+		if next := c.enter(); next != "" {
+			return passOn(next, args)
+		}
+		defer c.leave()
 		answer := make(chan string, 1)
 		c.events <- putEvent{msg, answer}
 		return <-answer
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -172,6 +172,13 @@
 	return d.moved
 }
 
+// address is where calls go now.
+func (d *discovery) address() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.base
+}
+
 // move takes another address from now on. A call under way to the old one is called off.
 func (d *discovery) move(addr string) {
 	d.mu.Lock()
--- /dev/null
+++ b/internal/node/handover.go
@@ -0,0 +1,609 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"ravenmount/logic"
+)
+
+const (
+	lockName     = "lock"     // in the state folder: whoever holds its lock owns the messages
+	socketName   = "handover" // beside it: where the owner hands over
+	handWord     = "take 1"   // what a successor says first; the number is that of the parcel's form
+	handTaken    = "taken\n"  // and last
+	handTime     = time.Second
+	handPause    = 50 * time.Millisecond  // before the owner is asked again
+	freezeTime   = 100 * time.Millisecond // for half-read requests to come to their end before a parcel is made
+	freezeLook   = time.Millisecond
+	lingerDoor   = 2 * time.Second // after a handover, for operators that still call the old address
+	spareSockets = 16              // of each process: lock, journal, discovery, notices and the like
+	handBatch    = 200             // descriptors in one message; the kernel takes 253
+	mostParcel   = 64 << 20
+)
+
+var (
+	errLocked = errors.New("another process owns the state")
+	errHanded = errors.New("handed over to a new process")
+)
+
+// parcel is what a process hands to its successor, beside descriptors: the lock, the listener, and then one for each
+// of Calls, Idle and Clients, in order.
+type parcel struct {
+	At         int64        // Unix microseconds when it was made ...
+	Clock      logic.Micros // ... and the module's clock then
+	Module     logic.Saved
+	Discovery  string // address that Generation is of
+	Generation int64
+	IDs        map[string]logic.EndpointID
+	Targets    map[logic.EndpointID]parcelTarget
+	Recent     map[string]int64 // ids that are over, with the ends of their time
+	Held       []parcelHeld
+	Calls      []parcelCall
+	Idle       []parcelIdle
+	Clients    []parcelClient
+}
+
+type parcelTarget struct {
+	Addr       string
+	Zone, Kind int
+	Dest       int64
+}
+
+type parcelHeld struct {
+	ID       string
+	Tries    int
+	Over     bool  // only its attempt is still out
+	Deadline int64 // of one that is over, which the journal may not have
+}
+
+type parcelCall struct {
+	ID       string
+	Attempt  int
+	Endpoint logic.EndpointID
+	At, By   int64 // Unix microseconds of its start, and of its end if nothing comes
+}
+
+type parcelIdle struct {
+	Endpoint logic.EndpointID
+	Since    int64
+}
+
+type parcelClient struct {
+	Since  int64
+	Proven bool
+}
+
+// legacy is what a process has been handed: the parcel, and what its descriptors became.
+type legacy struct {
+	parcel
+	listener net.Listener
+	conns    []net.Conn // of Calls, Idle and Clients
+	taken    func()     // says so to the process before
+}
+
+// lockState makes this process the owner of the state folder, until the file is closed everywhere.
+func lockState(dir string) (*os.File, error) {
+	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, fmt.Errorf("lock: %w", err)
+	}
+	for {
+		err = syscall.Flock(int(f.Fd()), syscall.LOCK_EX|syscall.LOCK_NB)
+		if !errors.Is(err, syscall.EINTR) {
+			break
+		}
+	}
+	if errors.Is(err, syscall.EWOULDBLOCK) {
+		err = errLocked
+	}
+	if err != nil {
+		f.Close()
+		return nil, fmt.Errorf("lock: %w", err)
+	}
+	return f, nil
+}
+
+// socketPath names the socket by a path that is short enough for its kind, whatever the folder's. The file is to be
+// closed once the name has been used.
+func socketPath(dir string) (string, *os.File, error) {
+	d, err := os.Open(dir)
+	if err != nil {
+		return "", nil, err
+	}
+	return fmt.Sprintf("/proc/self/fd/%d/%s", d.Fd(), socketName), d, nil
+}
+
+// listenHandover opens the socket for successors. Only the owner of the state may.
+func listenHandover(dir string) (*net.UnixListener, error) {
+	if err := os.Remove(filepath.Join(dir, socketName)); err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return nil, err
+	}
+	path, d, err := socketPath(dir)
+	if err != nil {
+		return nil, err
+	}
+	defer d.Close()
+	ln, err := net.ListenUnix("unix", &net.UnixAddr{Name: path, Net: "unix"})
+	if err != nil {
+		return nil, err
+	}
+	ln.SetUnlinkOnClose(false) // by then the name may be a successor's
+	return ln, nil
+}
+
+// meet lets successors in, one after the other, until the listener is closed.
+func (n *Node) meet(work context.Context, ln *net.UnixListener) {
+	defer context.AfterFunc(work, func() { ln.Close() })()
+	for {
+		conn, err := ln.AcceptUnix()
+		if err != nil {
+			if !errors.Is(err, net.ErrClosed) {
+				n.log.Error("handover", "err", err)
+			}
+			return
+		}
+		conn.SetDeadline(time.Now().Add(handTime))
+		line, err := bufio.NewReader(io.LimitReader(conn, orderLine)).ReadString('\n')
+		door, ok := strings.CutPrefix(strings.TrimSuffix(line, "\n"), handWord+" ")
+		if err != nil || !ok {
+			n.log.Warn("handover to a process that does not ask for it in this form", "err", err)
+			conn.Close()
+			continue
+		}
+		conn.SetDeadline(time.Time{})
+		select {
+		case n.heirs <- heir{conn, door}:
+		case <-work.Done():
+			conn.Close()
+		}
+	}
+}
+
+// heir is a process that asks to take over.
+type heir struct {
+	conn *net.UnixConn
+	door string // where operators call it; "-" if nowhere
+}
+
+// handOver gives all to a successor and says whether it has taken it. The loop calls it: nothing is decided meanwhile.
+// If the successor dies first, all goes on here as it was. stopped ends the wait for it: then this process is about to
+// end, and the successor, if it has all, goes on.
+func (n *Node) handOver(work context.Context, to heir, stopped <-chan struct{}) bool {
+	defer to.conn.Close()
+	if n.closing {
+		return false // it takes over once we have ended
+	}
+	start := time.Now()
+	n.admit(errHanded)
+	n.freeze(work, start)
+	for len(n.next) > 0 {
+		events := n.next
+		n.next = nil
+		n.carryOut(work, n.sender.Settle(micros(time.Since(n.start)), events))
+	}
+	p, conns, left := n.pack()
+	err := n.send(to.conn, p, conns, stopped)
+	if err != nil && !errors.Is(err, errHanded) {
+		n.log.Error("handover failed, going on", "err", err)
+		n.unfreeze(work, conns, left)
+		return false
+	}
+	n.clients.handed(n.ln.Addr().String(), conns.clients, left)
+	for _, x := range conns.calls {
+		x.Close()
+	}
+	for _, x := range conns.idle {
+		x.Close()
+	}
+	n.ln.Close()
+	if n.door != nil {
+		n.door.handed(to.door)
+	}
+	n.log.Info("handed over", "calls", len(p.Calls), "clients", len(p.Clients), "kept", len(left), "idle", len(p.Idle),
+		"held", len(p.Held), "took", time.Since(start).String())
+	return true
+}
+
+// freeze lets what is under way come to a point where it can be handed over: requests have their answers, clients'
+// connections wait for the next, calls wait for their answers or have them.
+func (n *Node) freeze(work context.Context, start time.Time) {
+	look := time.NewTicker(freezeLook)
+	defer look.Stop()
+	n.clients.freeze()
+	n.ln.(*net.TCPListener).SetDeadline(time.Unix(1, 0))
+	for !n.clients.frozenAll(time.Since(start) > freezeTime) {
+		select {
+		case ev := <-n.events:
+			n.take(ev)
+			n.step(work)
+		case <-look.C:
+			n.step(work)
+		}
+	}
+	n.hold(func(logic.EndpointID) bool { return true })
+	for n.afoot() > 0 {
+		select {
+		case ev := <-n.events:
+			n.take(ev)
+		case <-look.C:
+		}
+	}
+	for more := true; more; {
+		select {
+		case ev := <-n.events:
+			n.take(ev)
+		default:
+			more = false
+		}
+	}
+}
+
+// afoot sets calls aside that only wait for their answers, and counts those that have still to come to that or to
+// their outcome.
+func (n *Node) afoot() (count int) {
+	for _, h := range n.held {
+		if h.stop == nil || h.aside != nil {
+			continue
+		}
+		count++
+		if h.call.state.CompareAndSwap(callSent, callParked) {
+			h.stop(errParked)
+		}
+	}
+	return count
+}
+
+// handConns are the connections that go with a parcel.
+type handConns struct {
+	calls   []*idleConn
+	idle    []*idleConn
+	idleOf  []logic.EndpointID
+	clients []net.Conn
+	of      []*held // of calls
+}
+
+// pack makes the parcel. Both processes together may hold so many descriptors: what goes beyond that stays here, calls
+// going first and idle connections last.
+func (n *Node) pack() (*parcel, *handConns, []net.Conn) {
+	p := &parcel{At: time.Now().UnixMicro(), Clock: micros(time.Since(n.start)), Module: n.sender.Save(),
+		Discovery: n.disc.address(), Generation: n.generation, IDs: n.dir.ids, Targets: map[logic.EndpointID]parcelTarget{},
+		Recent: map[string]int64{}}
+	for id, t := range n.dir.eps {
+		p.Targets[id] = parcelTarget{t.addr, t.zone, t.kind, t.dest}
+	}
+	for id, t := range n.recent {
+		p.Recent[id] = t.UnixMicro()
+	}
+	room := n.sockets/2 - spareSockets
+	c := &handConns{}
+	for id, h := range n.held {
+		p.Held = append(p.Held, parcelHeld{id, h.tries, h.over, h.msg.Deadline})
+		if h.aside != nil {
+			in := h.call
+			p.Calls = append(p.Calls, parcelCall{id, in.attempt, in.ep, in.at.UnixMicro(), in.at.Add(in.giveUp).UnixMicro()})
+			c.calls, c.of = append(c.calls, h.aside), append(c.of, h)
+			room--
+		}
+	}
+	parked, states := n.clients.waiting()
+	some := max(min(len(parked), room), 0)
+	c.clients, p.Clients = parked[:some], states[:some]
+	room -= some
+	for ep, list := range n.caller.spare() {
+		for _, conn := range list {
+			if room--; room < 0 {
+				conn.Close()
+				continue
+			}
+			c.idle, c.idleOf = append(c.idle, conn), append(c.idleOf, ep)
+			p.Idle = append(p.Idle, parcelIdle{ep, conn.since.UnixMicro()})
+		}
+	}
+	return p, c, parked[some:]
+}
+
+// send writes the parcel and waits until the successor has taken it or is gone. errHanded says that this process must
+// end without knowing.
+func (n *Node) send(to *net.UnixConn, p *parcel, c *handConns, stopped <-chan struct{}) error {
+	text, err := json.Marshal(p)
+	if err != nil {
+		return err
+	}
+	fds := []int{int(n.lock.Fd())}
+	all := []syscall.Conn{n.ln.(*net.TCPListener)}
+	for _, list := range [][]*idleConn{c.calls, c.idle} {
+		for _, x := range list {
+			all = append(all, x.Conn.(syscall.Conn))
+		}
+	}
+	for _, x := range c.clients {
+		all = append(all, x.(syscall.Conn))
+	}
+	for _, x := range all {
+		raw, err := x.SyscallConn()
+		if err != nil {
+			return err
+		}
+		// The number stays good after Control: nobody else closes what is set aside.
+		if err := raw.Control(func(fd uintptr) { fds = append(fds, int(fd)) }); err != nil {
+			return err
+		}
+	}
+	head := binary.LittleEndian.AppendUint32(nil, uint32(len(fds)))
+	if _, err := to.Write(binary.LittleEndian.AppendUint32(head, uint32(len(text)))); err != nil {
+		return err
+	}
+	for len(fds) > 0 {
+		part := fds[:min(len(fds), handBatch)]
+		if _, _, err := to.WriteMsgUnix([]byte{'f'}, syscall.UnixRights(part...), nil); err != nil {
+			return err
+		}
+		fds = fds[len(part):]
+	}
+	if _, err := to.Write(text); err != nil {
+		return err
+	}
+	heard := make(chan error, 1)
+	go func() { // ends with the connection, which the caller closes
+		line := make([]byte, len(handTaken))
+		_, err := io.ReadFull(to, line)
+		heard <- err
+	}()
+	select {
+	case err := <-heard:
+		return err
+	case <-stopped:
+		return errHanded
+	}
+}
+
+// unfreeze goes on with what was packed, since nobody has taken it.
+func (n *Node) unfreeze(work context.Context, c *handConns, left []net.Conn) {
+	for i, h := range c.of {
+		h.aside = nil
+		h.call.state.Store(callSent)
+		n.goOn(work, h, c.calls[i])
+	}
+	for i, conn := range c.idle {
+		if !n.caller.put(c.idleOf[i], conn) {
+			conn.Close()
+		}
+	}
+	n.ln.(*net.TCPListener).SetDeadline(time.Time{})
+	n.clients.thaw(append(c.clients, left...))
+	go n.clients.serve(n.ln)
+	n.admit(nil)
+	n.step(work)
+}
+
+// goOn waits for the answer to a call that was set aside.
+func (n *Node) goOn(work context.Context, h *held, conn *idleConn) {
+	ctx, stop := context.WithCancelCause(work)
+	h.stop = stop
+	in := h.call
+	go func() {
+		r := n.caller.await(ctx, in, conn, in.at.Add(in.giveUp))
+		n.events <- replyEvent{in, r, time.Since(in.at)}
+	}()
+}
+
+// takeOver makes this process the owner of the state: it waits for the lock, or for the owner to hand over.
+func (n *Node) takeOver(ctx context.Context) (*legacy, error) {
+	for tries := 0; ; tries++ {
+		l, err := n.askOwner()
+		if err == nil {
+			return l, nil
+		}
+		if tries == 0 {
+			n.log.Info("waiting for the owner of the state", "why", err)
+		}
+		if err := n.own(); !errors.Is(err, errLocked) {
+			return nil, err
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-time.After(handPause):
+		}
+	}
+}
+
+// askOwner asks the owner of the state for all that it has. What is wrong shows before it is taken, so that the owner
+// goes on.
+func (n *Node) askOwner() (_ *legacy, err error) {
+	path, d, err := socketPath(n.cfg.StateDir)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: path, Net: "unix"})
+	d.Close()
+	if err != nil {
+		return nil, err
+	}
+	door := "-"
+	if n.door != nil {
+		door = n.door.address().String()
+	}
+	var files []*os.File
+	l := &legacy{}
+	defer func() {
+		if err == nil {
+			return
+		}
+		conn.Close()
+		for _, f := range files {
+			f.Close()
+		}
+		for _, c := range l.conns {
+			if c != nil {
+				c.Close()
+			}
+		}
+		if l.listener != nil {
+			l.listener.Close()
+		}
+	}()
+	if _, err := fmt.Fprintf(conn, "%s %s\n", handWord, door); err != nil {
+		return nil, err
+	}
+	var head [8]byte
+	if _, err := io.ReadFull(conn, head[:]); err != nil { // its death ends the wait
+		return nil, err
+	}
+	count, size := int(binary.LittleEndian.Uint32(head[:4])), int(binary.LittleEndian.Uint32(head[4:]))
+	for len(files) < count {
+		more, err := readFiles(conn)
+		if err != nil {
+			return nil, err
+		}
+		files = append(files, more...)
+	}
+	if size > mostParcel {
+		return nil, fmt.Errorf("parcel of %d bytes", size)
+	}
+	text := make([]byte, size)
+	if _, err := io.ReadFull(conn, text); err != nil {
+		return nil, err
+	}
+	if err := json.Unmarshal(text, &l.parcel); err != nil {
+		return nil, fmt.Errorf("parcel: %w", err)
+	}
+	if len(files) != 2+len(l.Calls)+len(l.Idle)+len(l.Clients) {
+		return nil, fmt.Errorf("parcel with %d descriptors", len(files))
+	}
+	if n.sender, err = logic.Resume(n.cfg.Deploy.Settings, n.cfg.Seed, l.Module); err != nil {
+		return nil, fmt.Errorf("parcel: %w", err)
+	}
+	if l.listener, err = net.FileListener(files[1]); err != nil {
+		return nil, err
+	}
+	files[1].Close()
+	for _, f := range files[2:] {
+		c, err := net.FileConn(f)
+		f.Close()
+		if err != nil { // its peer has gone, say
+			c = nil
+		}
+		l.conns = append(l.conns, c)
+	}
+	if n.journal, err = n.openJournal(); err != nil {
+		return nil, err
+	}
+	n.lock = files[0]
+	l.taken = func() {
+		io.WriteString(conn, handTaken) // an owner that has gone meanwhile need not know
+		conn.Close()
+	}
+	return l, nil
+}
+
+// readFiles takes one message with descriptors.
+func readFiles(conn *net.UnixConn) ([]*os.File, error) {
+	oob := make([]byte, syscall.CmsgSpace(4*handBatch))
+	var b [1]byte
+	_, k, flags, _, err := conn.ReadMsgUnix(b[:], oob)
+	if err != nil {
+		return nil, err
+	}
+	if k == 0 || flags&syscall.MSG_CTRUNC != 0 {
+		return nil, errors.New("descriptors missing")
+	}
+	msgs, err := syscall.ParseSocketControlMessage(oob[:k])
+	if err != nil {
+		return nil, err
+	}
+	var files []*os.File
+	for _, m := range msgs {
+		fds, err := syscall.ParseUnixRights(&m)
+		if err != nil {
+			return files, err
+		}
+		for _, fd := range fds {
+			files = append(files, os.NewFile(uintptr(fd), "handed over"))
+		}
+	}
+	return files, nil
+}
+
+// adopt goes on with what another process has handed over.
+func (n *Node) adopt(work context.Context, l *legacy) {
+	n.start = time.Now().Add(-span(l.Clock) - max(time.Since(time.UnixMicro(l.At)), 0))
+	n.dir.ids = l.IDs
+	for id, t := range l.Targets {
+		n.dir.eps[id] = target{t.Addr, t.Zone, t.Dest, t.Kind}
+	}
+	if l.Discovery == n.disc.address() && l.Generation != 0 {
+		n.generation, n.disc.gen, n.disc.started = l.Generation, l.Generation, true
+	}
+	for id, t := range l.Recent {
+		n.recent[id] = time.UnixMicro(t)
+	}
+	for _, e := range n.journal.Entries() {
+		if e.End != nil {
+			n.notices.add(*e.End)
+		}
+	}
+	for _, x := range l.Held {
+		h := &held{msg: &Message{ID: x.ID, Deadline: x.Deadline}, tries: x.Tries, over: x.Over}
+		if e := n.journal.Entry(x.ID); e != nil && e.End == nil {
+			h.msg = &e.Message
+		}
+		n.held[x.ID] = h
+		if !h.over {
+			n.open++
+		}
+	}
+	conns := l.conns
+	for _, x := range l.Calls {
+		h := n.held[x.ID]
+		if h == nil { // a parcel that names it as out has it as held too
+			if conns[0] != nil {
+				conns[0].Close()
+			}
+			conns = conns[1:]
+			continue
+		}
+		h.call = &call{id: x.ID, attempt: x.Attempt, ep: x.Endpoint, addr: n.dir.eps[x.Endpoint].addr,
+			at: time.UnixMicro(x.At), giveUp: time.Duration(x.By-x.At) * time.Microsecond,
+			request: &http.Request{Method: http.MethodPost}, state: new(atomic.Int32)}
+		h.call.state.Store(callSent)
+		if conns[0] == nil {
+			h.stop = func(error) {}
+			n.take(replyEvent{h.call, result{outcome: logic.Severed}, time.Since(h.call.at)})
+		} else {
+			n.goOn(work, h, newIdleConn(conns[0], h.call.addr))
+		}
+		conns = conns[1:]
+	}
+	for _, x := range l.Idle {
+		if conn := conns[0]; conn != nil {
+			kept := newIdleConn(conn, n.dir.eps[x.Endpoint].addr)
+			if !n.caller.put(x.Endpoint, kept) {
+				conn.Close()
+			}
+			kept.since = time.UnixMicro(x.Since)
+		}
+		conns = conns[1:]
+	}
+	for i, x := range l.Clients {
+		if conns[i] != nil {
+			n.clients.adopt(conns[i], x)
+		}
+	}
+	n.log.Info("taken over", "held", len(n.held), "calls", len(l.Calls), "clients", len(l.Clients), "idle", len(l.Idle))
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math"
 	"net"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"ravenmount/logic"
@@ -45,9 +48,10 @@
 type held struct {
 	msg   *Message
 	tries int
-	over  bool               // ended; an attempt is still out
-	stop  context.CancelFunc // of the attempt that is out
-	call  *call              // that attempt
+	over  bool                    // ended; an attempt is still out
+	stop  context.CancelCauseFunc // of the attempt that is out
+	call  *call                   // that attempt
+	aside *idleConn               // its connection, once it is set aside for another process
 }
 
 // Node is one sender.
@@ -64,36 +68,37 @@
 	door    *door // nil where no operator address is given
 	events  chan any
 	orders  chan order
+	heirs   chan heir
+	sockets int // descriptors that this process and another version of it may hold together
+	lock    *os.File
+	ln      net.Listener
 	ready   chan net.Addr // gets the address once clients are served
 
 	// What follows belongs to the loop.
-	start    time.Time
-	held     map[string]*held
-	open     int                  // of held, those not over
-	recent   map[string]time.Time // ids that were taken on and are over, until their time is up
-	next     []logic.Event        // for the next step
-	watching bool
-	closing  bool
-	puts     []putEvent
-	records  []record
-}
-
-// New makes a sender and replays its journal.
+	start      time.Time
+	held       map[string]*held
+	open       int                  // of held, those not over
+	recent     map[string]time.Time // ids that were taken on and are over, until their time is up
+	next       []logic.Event        // for the next step
+	watching   bool
+	generation int64 // of the list that the module has
+	closing    bool
+	puts       []putEvent
+	records    []record
+}
+
+// New makes a sender and replays its journal, unless another process owns it: then Run takes over from that one.
 func New(cfg *Config, log *slog.Logger) (*Node, error) {
 	set := cfg.Deploy.Settings
 	sender, err := logic.New(set, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	journal, err := OpenJournal(cfg.StateDir, int64(cfg.Limits.DiskMB*1e6))
-	if err != nil {
-		return nil, err
-	}
 	sockets := cfg.Limits.Sockets
 	if sockets <= 0 {
 		sockets = 1024
 	}
-	n := &Node{cfg: cfg, log: log, journal: journal, sender: sender, dir: newDirectory(cfg),
+	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, heirs: make(chan heir), dir: newDirectory(cfg),
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
 		events: make(chan any, eventRoom), orders: make(chan order), ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
 	n.disc = newDiscovery(cfg.Discovery, log, n.events)
@@ -102,9 +107,25 @@
 	if cfg.Operator != "" {
 		n.door = newDoor(log, sockets, n.orders)
 	}
+	if err := n.own(); err != nil && !errors.Is(err, errLocked) {
+		return nil, err
+	}
 	return n, nil
 }
 
+// own makes this process the owner of the state and replays the journal; errLocked if another one is.
+func (n *Node) own() (err error) {
+	if n.lock, err = lockState(n.cfg.StateDir); err != nil {
+		return err
+	}
+	n.journal, err = n.openJournal()
+	return err
+}
+
+func (n *Node) openJournal() (*Journal, error) {
+	return OpenJournal(n.cfg.StateDir, int64(n.cfg.Limits.DiskMB*1e6))
+}
+
 // Move takes another address of discovery, for the list and for notices. It may be called at any time.
 func (n *Node) Move(addr string) {
 	n.log.Info("discovery has moved", "addr", addr)
@@ -121,17 +142,21 @@
 func (n *Node) Run(ctx context.Context) error {
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	defer n.journal.Close()
-	endDoor, err := n.openDoor(work)
+	defer n.close()
+	endDoor, err := n.openDoor()
 	if err != nil {
 		return err
 	}
 	defer endDoor()
-	n.resume()
-	n.step(work) // what the journal holds comes first: its ends are due
-	ln, err := net.Listen("tcp", n.cfg.Listen)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	if err := n.begin(ctx, work); err != nil {
+		if ctx.Err() != nil {
+			return nil // stopped while it waited for its turn
+		}
+		return err
+	}
+	ln := n.ln
+	if err := n.expectHeirs(work); err != nil {
+		n.log.Error("no handover to a new process will be possible", "err", err)
 	}
 	if !n.cfg.Deploy.Settings.OnRequest {
 		n.listen(work) // the module is told of changes without asking; on a socket somebody must ask
@@ -161,20 +186,100 @@
 		<-grace.Done()
 		close(stopped)
 	}()
-	return n.loop(work, served, stopped)
+	err = n.loop(work, served, stopped)
+	if errors.Is(err, errHanded) {
+		cancel()
+		n.leave(ctx)
+		return nil
+	}
+	return err
+}
+
+// begin makes this process the owner of the messages and opens the way to clients: alone, or with all that another
+// process hands over.
+func (n *Node) begin(ctx, work context.Context) error {
+	var l *legacy
+	var err error
+	if n.journal == nil {
+		if l, err = n.takeOver(ctx); err != nil {
+			return err
+		}
+	}
+	if l != nil {
+		n.ln = l.listener
+		l.taken()
+		n.adopt(work, l)
+		n.step(work)
+		n.listen(work) // the module takes the watch for begun
+		return nil
+	}
+	n.resume()
+	n.step(work) // what the journal holds comes first: its ends are due
+	if n.ln, err = listenShared(ctx, n.cfg.Listen); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	return nil
+}
+
+// listenShared listens where another process of this sender may listen as well.
+func listenShared(ctx context.Context, addr string) (net.Listener, error) {
+	const reusePort = 0xf // SO_REUSEPORT, which package syscall lacks on some architectures
+	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
+		var err error
+		if err := c.Control(func(fd uintptr) {
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, reusePort, 1)
+		}); err != nil {
+			return err
+		}
+		return err
+	}}
+	return lc.Listen(ctx, "tcp", addr)
+}
+
+// expectHeirs lets new processes ask to take over, until work is over.
+func (n *Node) expectHeirs(work context.Context) error {
+	ln, err := listenHandover(n.cfg.StateDir)
+	if err != nil {
+		return err
+	}
+	go n.meet(work, ln)
+	return nil
+}
+
+// leave ends what stays here after a handover: requests that were half read, and operators that call this process
+// still.
+func (n *Node) leave(ctx context.Context) {
+	n.close() // the lock is the successor's now
+	grace, end := context.WithTimeout(context.Background(), requestTime+answerTime)
+	defer end()
+	n.clients.shutdown(grace)
+	select {
+	case <-ctx.Done():
+	case <-time.After(lingerDoor):
+	}
+	n.log.Info("stopped after the handover")
+}
+
+// close gives up what a process owns. It may be called twice.
+func (n *Node) close() {
+	if n.journal != nil {
+		n.journal.Close()
+	}
+	if n.lock != nil {
+		n.lock.Close()
+	}
 }
 
 // openDoor lets operators call, where an address for them is given, until the returned function has been called.
-func (n *Node) openDoor(work context.Context) (end func(), err error) {
+func (n *Node) openDoor() (end func(), err error) {
 	if n.door == nil {
 		return func() {}, nil
 	}
-	ln, err := net.Listen("tcp", n.cfg.Operator)
+	ln, err := n.door.listen(n.cfg.Operator)
 	if err != nil {
-		return nil, fmt.Errorf("operators' door: %w", err)
+		return nil, err
 	}
-	n.door.addr = ln.Addr()
-	ctx, cancel := context.WithCancel(work)
+	ctx, cancel := context.WithCancel(context.Background())
 	closed := make(chan struct{})
 	go func() { defer close(closed); n.door.serve(ctx, ln) }()
 	n.log.Info("operators' door", "addr", ln.Addr().String())
@@ -206,6 +311,11 @@
 		select {
 		case o := <-n.orders:
 			n.obey(o)
+		case x := <-n.heirs:
+			if n.handOver(work, x, stopped) {
+				return errHanded
+			}
+			continue
 		case ev := <-n.events:
 			n.take(ev)
 		case <-sweep.C:
@@ -253,7 +363,7 @@
 // resume hands the module what the journal holds, with what became of it so far.
 func (n *Node) resume() {
 	if n.cfg.Known.Generation != 0 || len(n.cfg.Known.Instances) > 0 {
-		n.disc.gen, n.disc.started = n.cfg.Known.Generation, true
+		n.generation, n.disc.gen, n.disc.started = n.cfg.Known.Generation, n.cfg.Known.Generation, true
 		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.take(n.cfg.Known)})
 	}
 	for _, id := range n.journal.TakenOut() {
@@ -365,6 +475,7 @@
 	if ev.list.Reset {
 		form = logic.ListFull
 	}
+	n.generation = ev.list.Generation
 	rows := n.dir.take(ev.list)
 	if len(rows) > 0 {
 		n.log.Info("list", "generation", ev.list.Generation, "whole", ev.list.Reset, "entries", len(rows))
@@ -381,11 +492,15 @@
 	if h == nil {
 		return
 	}
+	r := ev.result
+	if r.parked != nil {
+		h.aside = r.parked
+		return
+	}
 	if h.stop != nil {
-		h.stop()
+		h.stop(nil)
 		h.stop, h.call = nil, nil
 	}
-	r := ev.result
 	if r.wait > 0 {
 		n.holdWait(ev.call.ep)
 	}
@@ -458,11 +573,15 @@
 	}
 }
 
-// step lets the module decide, writes the journal, and then acts, in order.
+// step lets the module decide, writes the journal and then acts, in order.
 func (n *Node) step(work context.Context) {
 	events := n.next
 	n.next = nil
-	actions := n.sender.Step(micros(time.Since(n.start)), events)
+	n.carryOut(work, n.sender.Step(micros(time.Since(n.start)), events))
+}
+
+// carryOut writes the journal and then acts.
+func (n *Node) carryOut(work context.Context, actions []logic.Action) {
 	answers := n.answers(actions)
 	for i, p := range n.puts {
 		again := slices.ContainsFunc(n.puts[:i], func(x putEvent) bool { return x.msg.ID == p.msg.ID })
@@ -552,7 +671,7 @@
 		n.callOut(work, a, written)
 	case logic.Cancel:
 		if h := n.held[a.ID]; h != nil && h.stop != nil && h.tries-1 == a.Attempt {
-			h.stop()
+			h.stop(nil)
 		}
 	case logic.Refuse, logic.Fail:
 		x := noticeOf(a)
@@ -602,7 +721,7 @@
 			in.writeBy = time.UnixMicro(e.FirstMay).Add(span(c.Window))
 		}
 	}
-	ctx, stop := context.WithCancel(work)
+	ctx, stop := context.WithCancelCause(work)
 	h.stop, h.call = stop, in
 	var err error
 	if in.request, err = deliverRequest(h.msg, to.addr, in.giveUp); err != nil || !written {
@@ -613,10 +732,10 @@
 		time.AfterFunc(retryPause, func() { n.events <- ev }) // a full disk, say: room may come
 		return
 	}
+	in.at = time.Now()
 	go func() {
-		at := time.Now()
 		r := n.caller.do(ctx, in)
-		n.events <- replyEvent{in, r, time.Since(at)}
+		n.events <- replyEvent{in, r, time.Since(in.at)}
 	}()
 }
 
@@ -625,7 +744,7 @@
 func (n *Node) hold(match func(ep logic.EndpointID) bool) {
 	for _, h := range n.held {
 		if h.stop != nil && match(h.call.ep) && h.call.state.CompareAndSwap(callConnecting, callHeld) {
-			h.stop()
+			h.stop(nil)
 		}
 	}
 }
@@ -643,7 +762,8 @@
 	go func() {
 		out := logic.RefusedConn
 		if req, err := probeRequest(addr); err == nil {
-			out = n.caller.do(work, &call{ep: ep, addr: addr, giveUp: probeTime, request: req, state: new(atomic.Int32)}).outcome
+			out = n.caller.do(work, &call{ep: ep, addr: addr, at: time.Now(), giveUp: probeTime, request: req,
+				state: new(atomic.Int32)}).outcome
 		}
 		n.events <- healthEvent{ep, out}
 	}()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -462,7 +462,7 @@
 	served := newClients(&Config{}, slog.New(slog.DiscardHandler), nil)
 	served.closing, served.conns[conn] = true, &standing{}
 	conn.SetReadDeadline(time.Now())
-	served.handle(conn)
+	served.handle(conn, time.Now().Add(requestTime))
 	conn.Close()
 	if got := c.line(); got != "+PONG" {
 		t.Errorf("got %q", got)
@@ -556,7 +556,7 @@
 		var calls []*call
 		for i, ep := range []logic.EndpointID{1, 2, 3, 1} {
 			calls = append(calls, &call{ep: ep, state: new(atomic.Int32)})
-			n.held[fmt.Sprint("m", i)] = &held{call: calls[i], stop: func() {}}
+			n.held[fmt.Sprint("m", i)] = &held{call: calls[i], stop: func(error) {}}
 		}
 		calls[3].state.Store(callWritten)
 		x.learn(n)
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -42,10 +42,12 @@
 	log     *slog.Logger
 	orders  chan<- order
 	most    int
-	addr    net.Addr // set before the sender is ready
 	mu      sync.Mutex
+	addr    net.Addr
 	ready   error // why this process cannot serve; nil once it can
 	callers map[net.Conn]*operator
+	next    string        // where to pass calls on, after a handover; empty before
+	gone    chan struct{} // closed at a handover
 	wg      sync.WaitGroup
 }
 
@@ -57,7 +59,7 @@
 
 func newDoor(log *slog.Logger, sockets int, orders chan<- order) *door {
 	return &door{log: log, orders: orders, most: min(orderConns, max(sockets/16, 4)), ready: errStarting,
-		callers: map[net.Conn]*operator{}}
+		callers: map[net.Conn]*operator{}, gone: make(chan struct{})}
 }
 
 // setReady says from now on that this process can serve, or why it cannot.
@@ -67,6 +69,54 @@
 	d.ready = err
 }
 
+// handed passes calls on to the door of the process that has taken over; "-" if it has none.
+func (d *door) handed(next string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.next = next
+	close(d.gone)
+}
+
+// passOn asks the door of the process that has taken over.
+func (d *door) passOn(call string) error {
+	conn, err := net.DialTimeout("tcp", d.next, orderWait)
+	if err != nil {
+		return errHanded
+	}
+	defer conn.Close()
+	conn.SetDeadline(time.Now().Add(orderWait))
+	if _, err := io.WriteString(conn, call+"\n"); err != nil {
+		return errHanded
+	}
+	said, err := bufio.NewReader(io.LimitReader(conn, orderLine)).ReadString('\n')
+	if err != nil {
+		return errHanded
+	}
+	if said = strings.TrimSpace(said); said != "ok" {
+		return errors.New(strings.TrimPrefix(said, "fail "))
+	}
+	return nil
+}
+
+// listen opens the door; serve must follow.
+func (d *door) listen(addr string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("operators' door: %w", err)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.addr = ln.Addr()
+	return ln, nil
+}
+
+// address is where operators call; nil before the door is open.
+func (d *door) address() net.Addr {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.addr
+}
+
 // whyNot is why this process cannot serve; nil if it can.
 func (d *door) whyNot() error {
 	d.mu.Lock()
@@ -201,6 +251,8 @@
 	answer := make(chan error, 1) // the loop never waits for us
 	select {
 	case d.orders <- order{back: words[0] == "enable-server", id: words[1], answer: answer}:
+	case <-d.gone:
+		return d.passOn(strings.Join(words, " "))
 	case <-ctx.Done():
 		return cmp.Or(d.whyNot(), errors.New("the sender is too busy"))
 	}
--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -57,7 +57,7 @@
 	p.list = known
 	n := doorNode(t, p, dir, known)
 	c := dial(t, n.addr)
-	door := n.door.addr.String()
+	door := n.door.address().String()
 	round := func(c *client, how string) { // rotation would come to each of the two
 		t.Helper()
 		for i := range 4 {
@@ -82,7 +82,7 @@
 		t.Fatal(err)
 	}
 	n = doorNode(t, p, dir, known)
-	door, c = n.door.addr.String(), dial(t, n.addr)
+	door, c = n.door.address().String(), dial(t, n.addr)
 	round(c, "again")
 	wantAnswer(t, door, "enable-server s-0", "ok")
 	wantAnswer(t, door, "enable-server s-0", "ok")
@@ -99,7 +99,7 @@
 	known := List{Generation: 1, Reset: true, Instances: instances(e)}
 	p.list = known
 	n := doorNode(t, p, t.TempDir(), known)
-	door := n.door.addr.String()
+	door := n.door.address().String()
 	for i := range 2 * orderConns {
 		conn, err := net.Dial("tcp", door)
 		if err != nil {
@@ -138,7 +138,7 @@
 	}
 	in := &call{ep: 1, state: new(atomic.Int32)}
 	stopped := false
-	n.held["x"] = &held{msg: &Message{}, call: in, stop: func() { stopped = true }}
+	n.held["x"] = &held{msg: &Message{}, call: in, stop: func(error) { stopped = true }}
 	answer := make(chan error, 1)
 	j := openJournal(t, t.TempDir(), 3e6)
 	n.journal = j
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -37,12 +37,19 @@
 	t      *testing.T
 	cmd    *exec.Cmd
 	addr   string
+	door   string // operators' address
 	config string // path
 	done   chan error
 }
 
 // startProcess starts it with what the platform would tell it and waits until it is ready.
 func startProcess(t *testing.T, p *platform, dir string, known List) *process {
+	t.Helper()
+	return startAt(t, p, dir, known, "127.0.0.1:0")
+}
+
+// startAt starts it with an address for clients, which another process of the sender may have.
+func startAt(t *testing.T, p *platform, dir string, known List, listen string) *process {
 	t.Helper()
 	path, err := program()
 	if err != nil {
@@ -53,7 +60,7 @@
 		t.Fatal(err)
 	}
 	cmd := exec.Command(path)
-	cmd.Env = append(os.Environ(), "BALANCER_NAME=n0", "BALANCER_LISTEN=127.0.0.1:0",
+	cmd.Env = append(os.Environ(), "BALANCER_NAME=n0", "BALANCER_LISTEN="+listen, "BALANCER_OPERATOR=127.0.0.1:0",
 		"BALANCER_DISCOVERY="+strings.TrimPrefix(p.srv.URL, "http://"), "BALANCER_STATE="+dir, "BALANCER_CONFIG="+config)
 	logs, err := cmd.StderrPipe()
 	if err != nil {
@@ -66,11 +73,17 @@
 	t.Cleanup(func() { cmd.Process.Kill() })
 	addr := make(chan string, 1)
 	go func() {
+		addrOf := func(line string) string {
+			_, rest, _ := strings.Cut(line, "addr=")
+			a, _, _ := strings.Cut(rest, " ")
+			return a
+		}
 		for s := bufio.NewScanner(logs); s.Scan(); {
-			if _, rest, ok := strings.Cut(s.Text(), "msg=ready "); ok {
-				_, rest, _ = strings.Cut(rest, "addr=")
-				a, _, _ := strings.Cut(rest, " ")
-				addr <- a
+			switch line := s.Text(); {
+			case strings.Contains(line, `msg="operators' door" addr=`):
+				x.door = addrOf(line)
+			case strings.Contains(line, "msg=ready "):
+				addr <- addrOf(line)
 			}
 		}
 		x.done <- cmd.Wait()
