--- a/logic/rig_test.go
+++ b/logic/rig_test.go
@@ -90,6 +90,7 @@
 	wellSent []Micros
 	peak     float64
 	trace    []string
+	swap     Micros // mean time between two senders that go on for each other; 0 for one sender all day
 }
 
 type wmsg struct {
@@ -180,6 +181,9 @@
 		if len(evs) > 0 {
 			w.run(evs...)
 		}
+		if w.swap > 0 && w.now%w.swap < w.set.Tick {
+			w.replace()
+		}
 		w.live = slices.DeleteFunc(w.live, func(m *wmsg) bool { return m.ended })
 		for _, m := range w.live {
 			if w.now > m.deadline {
