Ask discovery apart in a fleet, whose calls keep it overbooked in step

Among 8 senders or more a watch now holds for 18 s and each asks again 145 ms x senders after news, under 6 s, with jitter. Refused connections taken for outages were dead addresses, not full ones.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"slices"
@@ -16,10 +17,16 @@
 )
 
 const (
-	watchHold  = 4 * time.Second        // how long a watch may wait for news; one that is lost shows soon after
-	watchSlack = time.Second            // and how much later its answer may come; changes count as told 2 s later
-	listTime   = 2 * time.Second        // for the whole list, which comes at once where it comes at all
-	emptyPause = 100 * time.Millisecond // between watches that are answered at once with nothing
+	watchHold  = 4 * time.Second // how long a watch may wait for news; one that is lost shows soon after
+	watchSlack = time.Second     // and how much later its answer may come; changes count as told 2 s later
+	listTime   = 2 * time.Second // for the whole list, which comes at once where it comes at all
+	// Calls of a fleet add up: discovery takes one after the other, turns away what waits for 2 s, and what it turned
+	// away costs it time too. Among many senders a watch holds longer, and each asks again some time after news.
+	apartFrom  = 8                       // senders from which on that is so
+	apartHold  = 18 * time.Second        // how long a watch may wait for news then
+	apartEach  = 145 * time.Millisecond  // the mean pause after news, for each sender ...
+	apartMost  = 5250 * time.Millisecond // ... and the longest mean: what changes counts as told 6 s later
+	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing
 	maxList    = 4 << 20
 )
 
@@ -107,16 +114,24 @@
 	client  *http.Client
 	log     *slog.Logger
 	events  chan<- any
-	gen     int64 // of the list that the loop has; used by one watch at a time
-	started bool  // there is such a list
+	hold    time.Duration // how long a watch may wait for news
+	apart   time.Duration // mean pause after news
+	rng     *rand.Rand    // sets our calls apart from those of other senders; used by one watch at a time, as are ...
+	gen     int64         // ... the version of the list that the loop has ...
+	begun   bool          // ... whether the first watch has begun ...
+	started bool          // ... and whether there is such a list
 	mu      sync.Mutex
 	base    string
 	moved   bool               // since the last call began
 	cut     context.CancelFunc // ends the call under way
 }
 
-func newDiscovery(addr string, log *slog.Logger, events chan<- any) *discovery {
-	return &discovery{base: "http://" + addr, log: log, events: events, client: &http.Client{Transport: &http.Transport{
+func newDiscovery(addr string, senders int, seed uint64, log *slog.Logger, events chan<- any) *discovery {
+	hold, apart := watchHold, time.Duration(0)
+	if senders >= apartFrom {
+		hold, apart = apartHold, min(time.Duration(senders)*apartEach, apartMost)
+	}
+	return &discovery{base: "http://" + addr, hold: hold, apart: apart, rng: rand.New(rand.NewPCG(seed, 1)), log: log, events: events, client: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
 }
@@ -124,6 +139,10 @@
 // watch reports changes until a call fails. Each call follows the last answer at
 // once, so that nothing is missed in between.
 func (d *discovery) watch(ctx context.Context) {
+	if d.apart > 0 && !d.begun { // a fleet that starts at once asks at once
+		d.begun = true
+		wait(ctx, time.Duration(d.rng.Int64N(int64(d.apart))))
+	}
 	for ctx.Err() == nil {
 		call, base, moved := d.begin(ctx)
 		if moved { // its list begins anew: the versions of another address may be others
@@ -131,8 +150,8 @@
 		}
 		url, limit := base+"/discovery/hosts", listTime
 		if d.started {
-			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, watchHold.Milliseconds())
-			limit = watchHold + watchSlack
+			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, d.hold.Milliseconds())
+			limit = d.hold + watchSlack
 		}
 		at := time.Now()
 		list, err := d.get(call, url, limit)
@@ -148,9 +167,22 @@
 		}
 		d.gen, d.started = list.Generation, true
 		d.events <- listEvent{list: list}
+		pause := time.Duration(0)
 		if len(list.Instances) == 0 && time.Since(at) < emptyPause {
-			time.Sleep(emptyPause)
+			pause = emptyPause
+		}
+		if d.apart > 0 {
+			pause = d.apart*85/100 + time.Duration(d.rng.Int64N(int64(d.apart)*30/100))
 		}
+		wait(ctx, pause)
+	}
+}
+
+// wait pauses, unless ctx ends it.
+func wait(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(pause):
 	}
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -101,7 +101,7 @@
 	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, heirs: make(chan heir), dir: newDirectory(cfg),
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
 		events: make(chan any, eventRoom), orders: make(chan order), ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
-	n.disc = newDiscovery(cfg.Discovery, log, n.events)
+	n.disc = newDiscovery(cfg.Discovery, set.Senders, cfg.Seed, log, n.events)
 	n.notices = newNotices(cfg.Discovery, log, n.events)
 	n.clients = newClients(cfg, log, n.events)
 	if cfg.Operator != "" {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -68,6 +68,8 @@
 	holdFull  = 0.9        // ours: share of the hold above which the least worthy are refused
 	askGap    = 50_000     // ours: first pause before the list is asked for again; what changes ...
 	askMost   = Second / 2 // ours: ... meanwhile counts as told, so the longest is under a drain's grace
+	askEach   = 50_000     // ours: the first pause for each of many senders, whose calls add up
+	askApart  = 4 * Second // ours: their longest: what changes counts as told after 6 s
 	logMost   = 200        // ours: log lines in a life
 	never     = Micros(math.MaxInt64)
 	longAgo   = Micros(math.MinInt64 / 2)
@@ -110,8 +112,13 @@
 func (s *Sender) list(ev Endpoints) {
 	if ev.Form == ListFailed {
 		// Asked in vain or subscription broken: ask again, later each time.
-		s.askAt = s.now + s.askGap
-		s.askGap = min(2*s.askGap, askMost)
+		first, most := s.askSpan()
+		gap := max(s.askGap, first)
+		if s.many { // each at a time of its own
+			gap = gap * Micros(50+s.rng.IntN(100)) / 100
+		}
+		s.askAt = s.now + gap
+		s.askGap = min(2*max(s.askGap, first), most)
 		return
 	}
 	if s.askAt == never {
@@ -125,6 +132,15 @@
 	}
 }
 
+// askSpan is the first and the longest pause before the list is asked for again. Among many senders calls
+// that are turned away and come again soon keep discovery overbooked.
+func (s *Sender) askSpan() (first, most Micros) {
+	if !s.many {
+		return askGap, askMost
+	}
+	return min(askEach*Micros(s.set.Senders), askApart), askApart
+}
+
 func (s *Sender) entry(row Entry) {
 	e := s.eps[row.Endpoint]
 	if row.State == Gone {
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -267,6 +267,34 @@
 	}
 }
 
+// Discovery that is overbooked stays so if a fleet asks again soon and in step.
+func TestManySendersAskApart(t *testing.T) {
+	set := base()
+	set.OnRequest, set.Senders = true, 36
+	first := map[Micros]bool{}
+	for seed := range uint64(8) {
+		s, err := New(set, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Step(0, nil)
+		for i := range 6 {
+			s.Step(sec(10*float64(i)), []Event{Endpoints{Form: ListFailed}})
+			gap := s.askAt - s.now
+			if i == 0 {
+				first[gap] = true
+			}
+			if least := sec(0.9); gap < least || gap > sec(6) {
+				t.Errorf("pause %d is %d us", i, gap)
+			}
+			s.Step(s.askAt, nil)
+		}
+	}
+	if len(first) < 6 {
+		t.Errorf("first pauses in step: %v", first)
+	}
+}
+
 func TestListNews(t *testing.T) {
 	set := base()
 	set.OnRequest = true
