Give connections back among many senders where endpoints turn calls away

Before any restart a third of the fleet's calls met 503 though few limits were reached: 36 senders' idle connections filled the endpoints that hold 7 to 16 (290 at once on 20 endpoints), and refusals in a row then passed for an outage. New connections are dear here, so none were given back. Now each is, from the start and while its kind turns away over 3% of the calls. Ruled out: dead endpoints (no connection failed before the restart).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -57,6 +57,8 @@
 	reuse       = 5 * Second   // ours: an endpoint called less often than this shares its connections
 	turnAlpha   = 0.05         // ours: weight of the newest call in a kind's share of calls turned away
 	turnShare   = 0.2          // ours: share above which a refused message of mean worth is not tried again
+	turnFirst   = 0.15         // ours: the same among many senders, before any call tells
+	turnDear    = 0.03         // ours: share above which dear connections are given back too
 	restPart    = 0.1          // ours: least mean part of its time left that a refused message rests
 	dearConn    = 0.04         // ours: price of a connection with each message above which none is given back
 	manySenders = 16           // ours: more than this, one idle connection each, may fill an endpoint
@@ -740,7 +742,11 @@
 	}
 	a, e := m.out, m.out.ep
 	lastOfCall := s.landed(a)
-	x := s.turned[e.dest.kind] * (1 - turnAlpha)
+	x, known := s.turned[e.dest.kind]
+	if s.many && !known {
+		x = turnFirst
+	}
+	x *= 1 - turnAlpha
 	if r.Outcome == Full {
 		x += turnAlpha
 	}
@@ -795,10 +801,11 @@
 		m.rest = s.now + errorRest<<min(m.tries, 5)
 	}
 	// Connections of many senders, idle ones counted, fill an endpoint: those that we use rarely are given back,
-	// unless new ones are dear.
+	// unless new ones are dear and the kind turns few away.
 	e.warm = s.now + s.set.ConnIdle
-	if n := len(e.sent); s.many && s.set.ConnPrice < dearConn && e.inflight == 0 &&
-		(n < 2 || s.now-e.sent[n-2] > reuse) {
+	n := len(e.sent)
+	give := s.set.ConnPrice < dearConn && (n < 2 || s.now-e.sent[n-2] > reuse)
+	if s.many && e.inflight == 0 && (give || s.turned[e.dest.kind] > turnDear) {
 		e.warm = s.now
 		s.do(Release{e.id})
 	}
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -683,6 +683,7 @@
 		set := base()
 		set.Senders, set.ConnIdle, set.ConnCalls, set.ConnPrice = senders, 10*Second, 1, 2*dearConn
 		r := newRig(t, set)
+		r.s.turned[0] = 0 // this kind has room
 		r.step(0, list(3))
 		used := map[EndpointID]bool{}
 		for i := range 6 {
@@ -699,6 +700,36 @@
 	}
 }
 
+// Among many senders idle connections fill an endpoint, and each further one is turned away: until calls show that the
+// kind has room, and again once it turns many away, a connection is given back after its call.
+func TestConnectionsGivenBackWhereKindIsFull(t *testing.T) {
+	for _, senders := range []int{2, manySenders + 1} {
+		set := base()
+		set.Senders, set.ConnIdle, set.ConnCalls, set.ConnPrice = senders, 10*Second, 1, 2*dearConn
+		r := newRig(t, set)
+		r.step(0, list(3))
+		call := func(at float64) (given bool) {
+			t.Helper()
+			c := only[CallOut](r.step(at, r.call(0)))[0]
+			return len(only[Release](r.step(at+0.1, answer(c.ID, c.Endpoint, 0, Completed)))) > 0
+		}
+		many := senders > manySenders
+		if call(1) != many {
+			t.Errorf("%d senders: the first connection", senders)
+		}
+		for i := range 60 {
+			call(2 + float64(i))
+		}
+		if call(100) {
+			t.Errorf("%d senders: given back though none was turned away", senders)
+		}
+		r.s.turned[0] = 0.1
+		if call(110) != many {
+			t.Errorf("%d senders: after calls were turned away", senders)
+		}
+	}
+}
+
 // Found on a drawn day (fast errors, head office): senders that rested after each refusal came back too early, in total,
 // to a destination that was shut. Among many senders two refusals in a row are enough.
 func TestTwoRefusalsMeanShutAmongManySenders(t *testing.T) {
