Let answered connections make room in a crowd, and slow requests last

With one of two senders down, 870 clients in 5 s were turned away: a connection for every message, each kept 2 s after its answer, 96 places. What filled the table was logged: answered connections only. They now go after silent and stalled peers and before requests that come on slowly; evictions and refusals are counted apart, and the table is bounded by memory too. Tests in crowd_test.go, seen to fail without.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -23,7 +23,9 @@
 	idleClient   = 30 * time.Second       // a connection without a request is closed after this ...
 	idleLeast    = 2 * time.Second        // ... and from this on when the table is full
 	lastRequest  = 200 * time.Millisecond // at a shutdown, for a request that has begun to come
+	clientPart   = 0.25                   // of the memory is for requests that clients' connections hold
 	maxIDLen     = 128
+	stallTime    = 300 * time.Millisecond // a peer that sends nothing for so long, its first request not whole, stands still
 	acceptPause  = 5 * time.Millisecond
 	answerOK     = "+OK\r\n"
 	answerFailed = "-ERR failed\r\n"
@@ -43,7 +45,8 @@
 	most    int // connections
 	mu      sync.Mutex
 	conns   map[net.Conn]*standing
-	away    int // connections turned away or closed to make room, since the last report
+	away    int // connections turned away, since the last report
+	evicted int // connections closed to make room, since the last report
 	late    int // connections closed for want of a whole request in time, since the last report
 	closing bool
 	wg      sync.WaitGroup
@@ -63,7 +66,47 @@
 	since  time.Time // of its start or its last answer
 	proven bool      // a whole request has come on it
 	busy   bool      // a request is under way
+	whole  bool      // all of it has come: its answer is due
 	evict  bool      // closed to make room
+	heard  time.Time // when the last byte came; zero if none has
+}
+
+// rank says what it costs to close a connection for another, least first: one that has stood idle long; one that is
+// silent or stands still with its first request; one that has its answer, which the protocol lets us close at any time
+// between requests, though clients count on 2 s; and one that is new or comes on, if slowly. At -1 it must not be.
+func (x *standing) rank(now time.Time) (rank int, since time.Time) {
+	last := x.since
+	if x.heard.After(last) {
+		last = x.heard
+	}
+	switch {
+	case x.evict || x.whole || x.busy && x.proven:
+		return -1, last
+	case x.proven && now.Sub(x.since) >= idleLeast:
+		return 0, last
+	case x.proven:
+		return 2, last
+	case now.Sub(last) > stallTime:
+		return 1, last
+	}
+	return 3, last
+}
+
+// hearing notes when bytes come on a connection.
+type hearing struct {
+	net.Conn
+	clients *clients
+	of      *standing
+}
+
+func (h hearing) Read(b []byte) (int, error) {
+	n, err := h.Conn.Read(b)
+	if n > 0 {
+		h.clients.mu.Lock()
+		h.of.heard = time.Now()
+		h.clients.mu.Unlock()
+	}
+	return n, err
 }
 
 func newClients(cfg *Config, log *slog.Logger, events chan<- any) *clients {
@@ -71,6 +114,9 @@
 	if cfg.Limits.Sockets > 0 {
 		most = max(cfg.Limits.Sockets/2, 16)
 	}
+	if m := cfg.Limits.MemoryMB; m > 0 { // each may hold the whole of a request, read or half read
+		most = min(most, max(int(m*(1<<20)*clientPart)/(maxBulk+maxRest), 16))
+	}
 	return &clients{cfg: cfg, log: log, events: events, most: most, conns: map[net.Conn]*standing{}}
 }
 
@@ -274,24 +320,24 @@
 	return line
 }
 
-// makeRoom closes the connection that is the least loss: the longest idle one, or else the one that has gone
-// longest without its first whole request. Its reader wakes and ends; until then the table is one over. The caller
+// makeRoom closes the connection that is the least loss, of several the one that has stood so longest. Its reader wakes and ends; until then the table is one over. The caller
 // holds c.mu.
 func (c *clients) makeRoom() bool {
+	now := time.Now()
 	var worst net.Conn
-	var w *standing
+	var least int
+	var since time.Time
 	for conn, x := range c.conns {
-		switch {
-		case x.evict || x.busy && x.proven || x.proven && time.Since(x.since) < idleLeast:
-		case w == nil || x.proven && !w.proven || x.proven == w.proven && x.since.Before(w.since):
-			worst, w = conn, x
+		rank, t := x.rank(now)
+		if rank >= 0 && (worst == nil || rank < least || rank == least && t.Before(since)) {
+			worst, least, since = conn, rank, t
 		}
 	}
-	if w == nil || len(c.conns) > c.most+c.most/8 {
+	if worst == nil || len(c.conns) > c.most+c.most/8 {
 		return false
 	}
-	w.evict = true
-	c.away++
+	c.conns[worst].evict = true
+	c.evicted++
 	worst.SetReadDeadline(time.Unix(1, 0))
 	return true
 }
@@ -300,8 +346,8 @@
 func (c *clients) report() []any {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	out := []any{"clients", len(c.conns), "clients_away", c.away, "clients_late", c.late}
-	c.away, c.late = 0, 0
+	out := []any{"clients", len(c.conns), "clients_away", c.away, "clients_evicted", c.evicted, "clients_late", c.late}
+	c.away, c.evicted, c.late = 0, 0, 0
 	return out
 }
 
@@ -325,10 +371,32 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if x := c.conns[conn]; x != nil {
-		x.since, x.proven, x.busy = time.Now(), true, false
+		x.since, x.proven, x.busy, x.whole = time.Now(), true, false, false
 	}
 }
 
+// hear reads from conn and notes when bytes come.
+func (c *clients) hear(conn net.Conn) net.Conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if x := c.conns[conn]; x != nil {
+		return hearing{conn, c, x}
+	}
+	return conn
+}
+
+// came notes that a whole request has come, whose answer is due; false if the connection had to make room before.
+func (c *clients) came(conn net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	x := c.conns[conn]
+	if x == nil || x.evict {
+		return false
+	}
+	x.whole = true
+	return true
+}
+
 // tooLate notes a connection that was closed for want of a whole request in time.
 func (c *clients) tooLate() {
 	c.mu.Lock()
@@ -378,7 +446,7 @@
 
 // handle serves conn until it ends or, which it says, is parked for a handover.
 func (c *clients) handle(conn net.Conn, first time.Time) (parked bool) {
-	r := bufio.NewReader(conn)
+	r := bufio.NewReader(c.hear(conn))
 	idle := first
 	if first.IsZero() {
 		idle = time.Now().Add(idleClient)
@@ -423,6 +491,9 @@
 			}
 			return false
 		}
+		if !c.came(conn) {
+			return false
+		}
 		answer := c.answer(args)
 		conn.SetWriteDeadline(time.Now().Add(answerTime))
 		if _, err := conn.Write([]byte(answer)); err != nil {
--- /dev/null
+++ b/internal/node/crowd_test.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// smallTable serves clients with room for 16.
+func smallTable(t *testing.T) (*clients, string) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close() })
+	c := newClients(&Config{Limits: Limits{Sockets: 32}}, slog.New(slog.DiscardHandler), nil)
+	go c.serve(ln)
+	return c, ln.Addr().String()
+}
+
+// A client that opens a connection for every message and leaves each open must not shut itself out.
+func TestAnsweredConnectionsMakeRoom(t *testing.T) {
+	c, addr := smallTable(t)
+	for i := range 3 * c.most {
+		if got := dial(t, addr).do("PING"); got != "+PONG" {
+			t.Fatalf("connection %d: got %q", i, got)
+		}
+	}
+}
+
+// In a crowd of peers that say nothing or stop midway, a request that comes on slowly is read to its end, and others
+// are served meanwhile.
+func TestSlowRequestOutlastsCrowd(t *testing.T) {
+	c, addr := smallTable(t)
+	slow := dial(t, addr)
+	text := "*1\r\n$4\r\nPING\r\n"
+	for i, part := range strings.Split(text, "") {
+		io.WriteString(slow.conn, part)
+		for j := range c.most / 4 {
+			idle := dial(t, addr)
+			if j%2 == 0 {
+				io.WriteString(idle.conn, "*3\r\n$7\r\nMSG")
+			}
+		}
+		if got := dial(t, addr).do("PING", fmt.Sprint(i)); got != "$1" && got != "$2" {
+			t.Fatalf("beside the crowd: got %q", got)
+		}
+		time.Sleep(stallTime / 4) // the peer's pace
+	}
+	if got := slow.line(); got != "+PONG" {
+		t.Errorf("slow request: got %q", got)
+	}
+}
+
+// What the connections of clients may hold is a part of the memory that the configuration gives.
+func TestTableFitsMemory(t *testing.T) {
+	for _, x := range []struct {
+		memory float64
+		want   int
+	}{{0, 512}, {32, 120}, {192, 512}} {
+		c := newClients(&Config{Limits: Limits{Sockets: 1024, MemoryMB: x.memory}}, slog.New(slog.DiscardHandler), nil)
+		if c.most != x.want {
+			t.Errorf("%v MB: %d connections, want %d", x.memory, c.most, x.want)
+		}
+	}
+}
