Hand calls over with what has come of their answers, in place of waiting for it

Ruled out: half-read requests (kept=0) and the new process's start. TestUpgradeWithHalfAnswer takes 1 s and fails without.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -198,6 +198,9 @@
 		return result{outcome: given}
 	}
 	conn.SetDeadline(time.Now().Add(headTime))
+	if given == logic.Severed && c.headParked(ctx, conn) {
+		return result{parked: conn}
+	}
 	delivered := saysDelivered(conn.r)
 	resp, err := http.ReadResponse(conn.r, in.request)
 	for err == nil && resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
@@ -221,6 +224,24 @@
 	return r
 }
 
+// headParked waits until the head of an answer is there, or has broken off, without taking any of it; true if the call
+// is set aside meanwhile. An answer that has begun may take its time, and a handover must not wait for that.
+func (c *caller) headParked(ctx context.Context, conn *idleConn) bool {
+	by := time.Now().Add(headTime)
+	quiet := wakeOn(ctx, conn)
+	var err error
+	for err == nil {
+		b, _ := conn.r.Peek(conn.r.Buffered())
+		if bytes.Contains(b, []byte("\r\n\r\n")) || len(b) == conn.r.Size() {
+			break
+		}
+		_, err = conn.r.Peek(len(b) + 1)
+	}
+	quiet()
+	conn.SetDeadline(by)
+	return isTimeout(err) && errors.Is(context.Cause(ctx), errParked) && time.Now().Before(by)
+}
+
 // saysDelivered looks at the first line of an answer that is about to be read, and says whether its status is 200.
 func saysDelivered(r *bufio.Reader) bool {
 	const line = "HTTP/1.1 200"
@@ -247,8 +268,11 @@
 	return newIdleConn(conn, in.addr), nil
 }
 
-func newIdleConn(conn net.Conn, addr string) *idleConn {
-	limit := &io.LimitedReader{R: conn}
+func newIdleConn(conn net.Conn, addr string) *idleConn { return begunConn(conn, addr, nil) }
+
+// begunConn is a connection on which a part of an answer has come already.
+func begunConn(conn net.Conn, addr string, got []byte) *idleConn {
+	limit := &io.LimitedReader{R: io.MultiReader(bytes.NewReader(got), conn)}
 	return &idleConn{Conn: conn, r: bufio.NewReader(limit), limit: limit, addr: addr}
 }
 
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -75,7 +75,8 @@
 	ID       string
 	Attempt  int
 	Endpoint logic.EndpointID
-	At, By   int64 // Unix microseconds of its start, and of its end if nothing comes
+	At, By   int64  // Unix microseconds of its start, and of its end if nothing comes
+	Got      []byte // of its answer
 }
 
 type parcelIdle struct {
@@ -295,7 +296,9 @@
 		p.Held = append(p.Held, parcelHeld{id, h.tries, h.over, h.msg.Deadline})
 		if h.aside != nil {
 			in := h.call
-			p.Calls = append(p.Calls, parcelCall{id, in.attempt, in.ep, in.at.UnixMicro(), in.at.Add(in.giveUp).UnixMicro()})
+			got, _ := h.aside.r.Peek(h.aside.r.Buffered())
+			p.Calls = append(p.Calls, parcelCall{id, in.attempt, in.ep, in.at.UnixMicro(),
+				in.at.Add(in.giveUp).UnixMicro(), got})
 			c.calls, c.of = append(c.calls, h.aside), append(c.of, h)
 			room--
 		}
@@ -586,7 +589,7 @@
 			h.stop = func(error) {}
 			n.take(replyEvent{h.call, result{outcome: logic.Severed}, time.Since(h.call.at)})
 		} else {
-			n.goOn(work, h, newIdleConn(conns[0], h.call.addr))
+			n.goOn(work, h, begunConn(conns[0], h.call.addr, x.Got))
 		}
 		conns = conns[1:]
 	}
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -177,3 +177,26 @@
 	x.end()
 	e.none(t)
 }
+
+// An answer of which a part has come goes over with its call: a handover must not wait for the rest.
+func TestUpgradeWithHalfAnswer(t *testing.T) {
+	p, e, dir, known, old := upgradeWorld(t)
+	c := dial(t, old.addr)
+	c.put("a", "unsafe", "+OK")
+	in := await(t, e.calls, "call")
+	io.WriteString(in.conn, "HTTP/1.1 503 x\r\nContent-Le")
+	at := time.Now()
+	x := startAt(t, p, dir, known, old.addr)
+	if took := time.Since(at); took > headTime*3/4 {
+		t.Errorf("taken over after %v", took)
+	}
+	io.WriteString(in.conn, "ngth: 0\r\n\r\n")
+	in.done <- true
+	again := await(t, e.calls, "call again: the first was turned away, which both halves say together")
+	if again.id() != "a" {
+		t.Errorf("call with %s", again.id())
+	}
+	again.reply(200)
+	x.term()
+	x.end()
+}
