Share a told limit among many senders, by what answers say is left of it

Refused calls count against the limit, so a clump leaves it in debt by all that came above it, and x0 stands at 0.

Checked: the told waits. 403 ms is the least told; above it they grow to 584 ms as calls come in, which is the debt over the limit. Ruled out: a pace that comes back too soon. It is at its floor, an even share, after the first refusal; nearly all refused calls are first ones of their sender (n0), and 80 of those are 1.5 s of the limit. Ruled out: resends (1.00 attempts a message). So it is the free first sends that add up: paced() bounded nothing above 16 senders until a refusal of one's own, and creep() set the pace free again at the next success.

Now each sender keeps to 0.9 even shares with nothing left, and up to 2.5 with all of it left (x0); none waits past its aim for the pace while all is left. Without reports all is as before.

--- a/logic/handover.go
+++ b/logic/handover.go
@@ -38,11 +38,11 @@
 }
 
 type savedLane struct {
-	Limit, Pace, Tokens, Peak, Phase float64
-	Told                             bool
-	Halved, Filled, Until, FirstFull Micros
-	Fulls                            int
-	Sent                             []Micros
+	Limit, Left, Pace, Tokens, Peak, Phase float64
+	Told                                   bool
+	Halved, Filled, Until, FirstFull       Micros
+	Fulls                                  int
+	Sent                                   []Micros
 }
 
 type savedDest struct {
@@ -118,12 +118,12 @@
 }
 
 func (l *lane) save() savedLane {
-	return savedLane{Limit: l.limit, Pace: l.pace, Tokens: l.tokens, Peak: l.peak, Phase: l.phase, Told: l.told,
+	return savedLane{Limit: l.limit, Left: l.left, Pace: l.pace, Tokens: l.tokens, Peak: l.peak, Phase: l.phase, Told: l.told,
 		Halved: l.halved, Filled: l.filled, Until: l.until, FirstFull: l.firstFull, Fulls: l.fulls, Sent: l.sent}
 }
 
 func (x savedLane) lane() *lane {
-	return &lane{limit: x.Limit, pace: x.Pace, tokens: x.Tokens, peak: x.Peak, phase: x.Phase, told: x.Told,
+	return &lane{limit: x.Limit, left: x.Left, pace: x.Pace, tokens: x.Tokens, peak: x.Peak, phase: x.Phase, told: x.Told,
 		halved: x.Halved, filled: x.Filled, until: x.Until, firstFull: x.FirstFull, fulls: x.Fulls, sent: x.Sent}
 }
 
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -30,6 +30,8 @@
 	paceSpan  = Second     // design: the span of the first pace, and between two halvings
 	paceSave  = Second / 2 // ours: what an idle pace saves up; more of it meets limits in bursts
 	paceCreep = 0.1        // ours: growth of the pace with each success
+	evenMany  = 0.9        // ours: the same among many senders with nothing of the limit left ...
+	moreLeft  = 1.6        // ours: ... and what all of it left adds to that
 	evenRoom  = 1.25       // ours: a told limit bounds the pace to this many even shares of it
 	paceFree  = 4.0        // ours: a pace this many times what is sent sets nothing any more and is dropped
 
@@ -88,7 +90,10 @@
 	if set.OnRequest {
 		s.askAt = math.MinInt64
 	}
-	s.many = set.Senders > manySenders
+	s.many, s.aim = set.Senders > manySenders, never
+	for _, c := range set.Classes {
+		s.aim = min(s.aim, max(c.Aim, set.Tick, 1000))
+	}
 	s.byClass, s.usage = make([]hist, len(set.Classes)), make([]usage, len(set.Tenants))
 	return s, nil
 }
@@ -160,7 +165,7 @@
 		e = &endpoint{id: row.Endpoint, dest: d, lane: d.lane, state: Gone}
 		e.lastOK, e.lastBad, e.lastSent, e.well = longAgo, longAgo, longAgo, longAgo
 		if s.kind(d).Apart {
-			e.lane = &lane{}
+			e.lane = s.newLane()
 		}
 		s.eps[e.id] = e
 		// A machine that joins a destination in trouble is as cold as the others: what topples it is shared.
@@ -512,16 +517,20 @@
 
 // paced says when the lane may take its next call.
 func (s *Sender) paced(l *lane) Micros {
-	r := l.pace
+	r, save := l.pace, 1.0
 	if l.limit > 0 { // where a limit is told, it bounds the pace from the start
 		lim := l.limit
 		if s.set.Weights == WeightsRough && !l.told {
 			lim *= 1.5
 		}
 		// It is for all senders together. Among few, traffic is even enough for the share to be so; among many,
-		// one sender's share of a short while says little, and what is refused sets the pace.
-		if !s.many {
-			lim *= min(1, evenRoom/float64(s.set.Senders))
+		// one sender's of a short while is not: it takes more while answers tell that some of the limit is left.
+		switch share := lim / float64(s.set.Senders); {
+		case !s.many:
+			lim = min(lim, evenRoom*share)
+		case s.set.ReportLeft >= 0:
+			lim = min(lim, evenMany*share+l.left*max(moreLeft*share, 1/seconds(s.aim)))
+			save = 1 + l.left
 		}
 		if r == 0 || r > lim {
 			r = lim
@@ -530,7 +539,7 @@
 	if r == 0 {
 		return 0
 	}
-	l.tokens = min(l.tokens+r*seconds(s.now-l.filled), max(1, r*seconds(paceSave)))
+	l.tokens = min(l.tokens+r*seconds(s.now-l.filled), max(save, r*seconds(paceSave)))
 	l.filled = s.now
 	if l.tokens >= 1-1e-9 {
 		return 0
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -644,6 +644,52 @@
 	}
 }
 
+// Found on the fleet's days: a clump met the free first sends of eighty senders, and since refused calls use the limit
+// up, next to nothing was taken for seconds. Their calls must add up to the limit, and with all of it left none waits
+// past its aim.
+func TestManySendersShareALimit(t *testing.T) {
+	const senders, rate = 80, 40.0
+	calls := 0
+	for i := range senders {
+		set := base()
+		set.Senders, set.Weights, set.ReportLeft, set.ReportLimit = senders, WeightsNominal, 0, 1
+		r := newRig(t, set)
+		r.s.rng = rand.New(rand.NewPCG(uint64(i), 0))
+		ev := list(1)
+		ev.Entries[0].Nominal = rate
+		r.step(0, ev)
+		told := func(c CallOut, left float64) Reply {
+			x := answer(c.ID, 1, 0, Completed)
+			x.Load = []float64{left, rate}
+			return x
+		}
+		sent := func(from, to float64, left float64) (n int) {
+			for at := from; at < to; at += 0.05 {
+				for _, c := range only[CallOut](r.step(at, Due{})) {
+					n++
+					r.step(at+0.01, told(c, left))
+				}
+			}
+			return n
+		}
+		for range 6 {
+			r.step(0, r.call(0))
+		}
+		calls += sent(0.05, 4, 0)
+		for _, c := range only[CallOut](r.step(40, r.call(0))) {
+			r.step(40.1, told(c, 1))
+		}
+		r.step(50, r.call(0), r.call(0))
+		r.step(50, r.call(0))
+		if n := sent(50, 51, 1); n == 0 {
+			t.Errorf("sender %d: waits past its aim though all of the limit is left", i)
+		}
+	}
+	if most := rate*4 + senders; float64(calls) > most {
+		t.Errorf("%d calls in 4 s of a clump under a limit of %.0f a second, want at most %.0f", calls, rate, most)
+	}
+}
+
 // Found on the later gas scheduling: at a limit that counts refusals, calls tried again at once kept it used up.
 func TestRefusedMessagesRestAmongManySenders(t *testing.T) {
 	soonest, latest := 60.0, 0.0
--- a/logic/state.go
+++ b/logic/state.go
@@ -26,6 +26,7 @@
 type lane struct {
 	limit     float64 // calls a second for all senders, as told; 0 if not
 	told      bool    // limit came in a report
+	left      float64 // share of the limit that is left, as told last
 	pace      float64 // 0: free
 	halved    Micros
 	tokens    float64
@@ -147,6 +148,7 @@
 	closeAt   Micros // when this sender stops; 0 if it does not
 	logs      int
 	many      bool            // senders
+	aim       Micros          // the shortest of the classes
 	stray     float64         // share of calls that fail by chance, at endpoints that are not out
 	turned    map[int]float64 // by kind, share of calls turned away
 	meanWorth float64         // of messages that came
@@ -175,13 +177,21 @@
 func (s *Sender) dest(id int64) *dest {
 	d := s.dests[id]
 	if d == nil {
-		d = &dest{id: id, lane: &lane{}, used: s.now}
+		d = &dest{id: id, lane: s.newLane(), used: s.now}
 		s.dests[id] = d
 		s.order = append(s.order, d)
 	}
 	return d
 }
 
+// newLane is a lane of which nothing is known. Many senders that start at once call at times of their own.
+func (s *Sender) newLane() *lane {
+	if !s.many {
+		return &lane{}
+	}
+	return &lane{left: 0.5, filled: s.now, tokens: s.rng.Float64()}
+}
+
 func (s *Sender) kind(d *dest) Kind {
 	if d.kind >= 0 && d.kind < len(s.set.Kinds) {
 		return s.set.Kinds[d.kind]
@@ -230,6 +240,9 @@
 	if i := s.set.ReportLimit; i >= 0 && i < len(load) && load[i] > 0 {
 		e.lane.limit, e.lane.told = load[i], true
 	}
+	if i := s.set.ReportLeft; i >= 0 && i < len(load) && e.lane.limit > 0 {
+		e.lane.left = min(load[i], 1)
+	}
 }
 
 // close forgets a message that is over, once nothing of it is out.
