Watch on while discovery answers soon, and pause only where it is overbooked

How it was found: each call for the list was logged with its time. A sender that was answered at 13.61 s and then paused for 5 s went on to an endpoint that began to drain at 13.71 s; it counted as told at 13.77 s, since what changes within 0.2 s of an answer counts as told whether or not the watch goes on.

At fault: watch() in discovery.go paused after all news. It now watches on at once while an answer with news takes at most 1.3 s, and pauses after one that took longer, by 4.4 s in the mean in place of 5.25, so that the next answer comes within 7 s. Where it does not, the module holds its sends until it has come (ListAge); a watch that waits for news is no old list. After a call that was turned away a fleet asks again after 25 ms x senders, not 50.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -21,11 +21,15 @@
 	watchSlack = time.Second     // and how much later its answer may come; changes count as told 2 s later
 	listTime   = 2 * time.Second // for the whole list, which comes at once where it comes at all
 	// Calls of a fleet add up: discovery takes one after the other, turns away what waits for 2 s, and what it turned
-	// away costs it time too. Among many senders a watch holds longer, and each asks again some time after news.
+	// away costs it time too. Many senders go on watching while it answers soon, and pause once it is overbooked.
 	apartFrom  = 8                       // senders from which on that is so
 	apartHold  = 18 * time.Second        // how long a watch may wait for news then
-	apartEach  = 145 * time.Millisecond  // the mean pause after news, for each sender ...
-	apartMost  = 5250 * time.Millisecond // ... and the longest mean: what changes counts as told 6 s later
+	apartBusy  = 1300 * time.Millisecond // an answer with news that took longer is followed by a pause
+	apartEach  = 145 * time.Millisecond  // the mean of that, for each sender ...
+	apartMost  = 4400 * time.Millisecond // ... and the longest mean: with 2 s for the next answer it stays under listAge
+	firstMost  = 5250 * time.Millisecond // before the first call: a fleet that restarts meets discovery all at once
+	accepted   = 2200 * time.Millisecond // a call that is out for longer was not turned away: it waits for news
+	listAge    = 5800 * time.Millisecond // of an answer, when what changed since counts as told; a bit less than 6 s
 	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing
 	maxList    = 4 << 20
 )
@@ -50,8 +54,9 @@
 
 // listEvent is news of the list, or of a call for it that failed.
 type listEvent struct {
-	list List
-	err  error
+	list    List
+	watched bool // no news yet: it is told from now on as soon as there is any
+	err     error
 }
 
 // directory maps the list's names to the module's numbers. The loop owns it.
@@ -115,7 +120,8 @@
 	log     *slog.Logger
 	events  chan<- any
 	hold    time.Duration // how long a watch may wait for news
-	apart   time.Duration // mean pause after news
+	apart   time.Duration // mean pause after news from discovery that is busy
+	first   time.Duration // longest pause before the first call
 	rng     *rand.Rand    // sets our calls apart from those of other senders; used by one watch at a time, as are ...
 	gen     int64         // ... the version of the list that the loop has ...
 	begun   bool          // ... whether the first watch has begun ...
@@ -127,21 +133,22 @@
 }
 
 func newDiscovery(addr string, senders int, seed uint64, log *slog.Logger, events chan<- any) *discovery {
-	hold, apart := watchHold, time.Duration(0)
+	hold, apart, first := watchHold, time.Duration(0), time.Duration(0)
 	if senders >= apartFrom {
-		hold, apart = apartHold, min(time.Duration(senders)*apartEach, apartMost)
+		each := time.Duration(min(senders, 1000)) * apartEach
+		hold, apart, first = apartHold, min(each, apartMost), min(each, firstMost)
 	}
-	return &discovery{base: "http://" + addr, hold: hold, apart: apart, rng: rand.New(rand.NewPCG(seed, 1)), log: log, events: events, client: &http.Client{Transport: &http.Transport{
+	return &discovery{base: "http://" + addr, hold: hold, apart: apart, first: first, rng: rand.New(rand.NewPCG(seed, 1)), log: log, events: events, client: &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 		MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
 }
 
 // watch reports changes until a call fails. Each call follows the last answer at
-// once, so that nothing is missed in between.
+// once, so that nothing is missed in between, unless discovery is overbooked.
 func (d *discovery) watch(ctx context.Context) {
 	if d.apart > 0 && !d.begun { // a fleet that starts at once asks at once
 		d.begun = true
-		wait(ctx, time.Duration(d.rng.Int64N(int64(d.apart))))
+		wait(ctx, time.Duration(d.rng.Int64N(int64(d.first))))
 	}
 	for ctx.Err() == nil {
 		call, base, moved := d.begin(ctx)
@@ -154,7 +161,7 @@
 			limit = d.hold + watchSlack
 		}
 		at := time.Now()
-		list, err := d.get(call, url, limit)
+		list, err := d.await(call, url, limit)
 		if moved := d.end(); ctx.Err() != nil {
 			return
 		} else if moved {
@@ -168,16 +175,41 @@
 		d.gen, d.started = list.Generation, true
 		d.events <- listEvent{list: list}
 		pause := time.Duration(0)
-		if len(list.Instances) == 0 && time.Since(at) < emptyPause {
+		switch took := time.Since(at); {
+		case len(list.Instances) == 0 && took < emptyPause:
 			pause = emptyPause
-		}
-		if d.apart > 0 {
-			pause = d.apart*85/100 + time.Duration(d.rng.Int64N(int64(d.apart)*30/100))
+		case d.apart > 0 && len(list.Instances) > 0 && took > apartBusy:
+			pause = d.apart*92/100 + time.Duration(d.rng.Int64N(int64(d.apart)*16/100))
 		}
 		wait(ctx, pause)
 	}
 }
 
+// await makes a call, and tells the loop if it is one that waits for news.
+func (d *discovery) await(ctx context.Context, url string, limit time.Duration) (List, error) {
+	type answer struct {
+		list List
+		err  error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		list, err := d.get(ctx, url, limit)
+		answers <- answer{list, err}
+	}()
+	out := time.NewTimer(accepted)
+	defer out.Stop()
+	select {
+	case a := <-answers:
+		return a.list, a.err
+	case <-out.C:
+	}
+	if d.started {
+		d.events <- listEvent{watched: true}
+	}
+	a := <-answers
+	return a.list, a.err
+}
+
 // wait pauses, unless ctx ends it.
 func wait(ctx context.Context, pause time.Duration) {
 	select {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -89,8 +89,11 @@
 
 // New makes a sender and replays its journal, unless another process owns it: then Run takes over from that one.
 func New(cfg *Config, log *slog.Logger) (*Node, error) {
-	set := cfg.Deploy.Settings
-	sender, err := logic.New(set, cfg.Seed)
+	set := &cfg.Deploy.Settings
+	if set.Senders >= apartFrom { // with pauses between its calls for the list
+		set.ListAge = micros(listAge) + set.DrainGrace
+	}
+	sender, err := logic.New(*set, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
@@ -471,6 +474,10 @@
 		n.next = append(n.next, logic.Endpoints{Form: logic.ListFailed})
 		return
 	}
+	if ev.watched {
+		n.next = append(n.next, logic.Endpoints{Form: logic.ListWatched})
+		return
+	}
 	form := logic.ListDelta
 	if ev.list.Reset {
 		form = logic.ListFull
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -70,9 +70,10 @@
 	lossAhead = Second     // ours: loss of worth within this sets who goes first
 	holdHalf  = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
 	holdFull  = 0.9        // ours: share of the hold above which the least worthy are refused
+	staleMost = 4 * Second // ours: nothing is sent on an old list for so long
 	askGap    = 50_000     // ours: first pause before the list is asked for again; what changes ...
 	askMost   = Second / 2 // ours: ... meanwhile counts as told, so the longest is under a drain's grace
-	askEach   = 50_000     // ours: the first pause for each of many senders, whose calls add up
+	askEach   = 25_000     // ours: the first pause for each of many senders, whose calls add up
 	askApart  = 4 * Second // ours: their longest: what changes counts as told after 6 s
 	logMost   = 200        // ours: log lines in a life
 	never     = Micros(math.MaxInt64)
@@ -117,6 +118,12 @@
 // ---- Endpoint list -------------------------------------------------------------------
 
 func (s *Sender) list(ev Endpoints) {
+	if ev.Form != ListFailed || s.watched {
+		s.listAt = s.now
+	}
+	if s.watched = ev.Form == ListWatched; s.watched {
+		return
+	}
 	if ev.Form == ListFailed {
 		// Asked in vain or subscription broken: ask again, later each time.
 		first, most := s.askSpan()
@@ -368,6 +375,8 @@
 		return false, never
 	case s.banned[e.id]: // an operator has taken it out
 		return false, never
+	case s.staleTill() > s.now: // e may drain by now
+		return false, s.staleTill()
 	case s.now < max(e.lane.until, m.rest): // told wait
 		return false, max(e.lane.until, m.rest)
 	case s.set.MaxTries > 0 && m.tries >= s.set.MaxTries:
@@ -414,6 +423,16 @@
 	return true, 0
 }
 
+// staleTill is the time until which nothing is sent since the list is old: what changes counts as told some
+// time later, even if nothing came. It ends with the next news, or after a while: discovery may be down long.
+func (s *Sender) staleTill() Micros {
+	old := s.listAt + s.set.ListAge
+	if s.set.ListAge <= 0 || s.watched || s.now < old || s.now >= old+staleMost {
+		return longAgo
+	}
+	return old + staleMost
+}
+
 // lasts is the time that an attempt needs before this sender stops. One that is cut off by the stop is resent
 // if its class allows it, but an unsafe one is lost.
 func (s *Sender) lasts(m *msg, e *endpoint) Micros {
--- a/logic/state.go
+++ b/logic/state.go
@@ -145,6 +145,8 @@
 	timer     Micros // when the last timer set goes off; 0 if none is out
 	askAt     Micros // when to ask for the list; never if asked
 	askGap    Micros
+	listAt    Micros // when the list was told last
+	watched   bool   // and what changes since is told at once
 	closeAt   Micros // when this sender stops; 0 if it does not
 	logs      int
 	many      bool            // senders
--- a/logic/types.go
+++ b/logic/types.go
@@ -92,6 +92,7 @@
 	OverShareWorth float64 // part of its worth that a message over its tenant's quota keeps
 
 	DrainGrace   Micros
+	ListAge      Micros  // nothing new is sent on a list that was told longer ago; 0 for no such bound
 	FallMultiple float64 // sent more than this many times its capacity
 	FallWindow   Micros  // for this long, a cold destination falls over
 	ColdFrom     float64 // share of its capacity that a destination has after an outage
@@ -140,10 +141,11 @@
 
 // The forms of list news.
 const (
-	ListDelta  ListForm = iota // changes only
-	ListFull                   // the whole list; what is not in it is gone
-	ListCached                 // the whole list as last saved, maybe old
-	ListFailed                 // a request for the list failed; the old one stands
+	ListDelta   ListForm = iota // changes only
+	ListFull                    // the whole list; what is not in it is gone
+	ListCached                  // the whole list as last saved, maybe old
+	ListFailed                  // a request for the list failed; the old one stands
+	ListWatched                 // no news: the list is as it was, and what changes is told at once from now on
 )
 
 // Endpoints is news of the endpoint list.
