Free the place of a client's connection at once when it makes room

Seen: TestSlowRequestOutlastsCrowd failed in some 1 of 10 plays, a client of the crowd turned away. A connection that made room stood in the table until its reader had ended, and with two such over the table's size each further client was closed at accept: makeRoom() in clients.go. It is now closed and taken out at once.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -320,8 +320,9 @@
 	return line
 }
 
-// makeRoom closes the connection that is the least loss, of several the one that has stood so longest. Its reader wakes and ends; until then the table is one over. The caller
-// holds c.mu.
+// makeRoom closes the connection that is the least loss, of several the one that has stood so longest. Its place is free
+// at once, or a burst of new ones is turned away while the readers of those that make room still end. One that may be
+// parked for a handover is left to its reader; until that ends the table is one over. The caller holds c.mu.
 func (c *clients) makeRoom() bool {
 	now := time.Now()
 	var worst net.Conn
@@ -338,7 +339,12 @@
 	}
 	c.conns[worst].evict = true
 	c.evicted++
-	worst.SetReadDeadline(time.Unix(1, 0))
+	if c.frozen {
+		worst.SetReadDeadline(time.Unix(1, 0))
+		return true
+	}
+	delete(c.conns, worst)
+	worst.Close()
 	return true
 }
 
--- a/internal/node/crowd_test.go
+++ b/internal/node/crowd_test.go
@@ -33,6 +33,24 @@
 	}
 }
 
+// A burst of new connections finds room however busy the readers of those are that make it.
+func TestBurstFindsRoom(t *testing.T) {
+	c, _ := smallTable(t)
+	c.mu.Lock()
+	defer c.mu.Unlock() // no reader ends meanwhile
+	for i := range 3 * c.most {
+		mine, theirs := net.Pipe()
+		t.Cleanup(func() { theirs.Close() })
+		if len(c.conns) >= c.most && !c.makeRoom() {
+			t.Fatalf("connection %d is turned away", i)
+		}
+		c.conns[mine] = &standing{since: time.Now()}
+	}
+	if len(c.conns) > c.most {
+		t.Errorf("%d connections in a table of %d", len(c.conns), c.most)
+	}
+}
+
 // In a crowd of peers that say nothing or stop midway, a request that comes on slowly is read to its end, and others
 // are served meanwhile.
 func TestSlowRequestOutlastsCrowd(t *testing.T) {
