Learn from refused connections, not from limits, how many a kind has room for

How it was found: the refusals told apart. Those above a limit carry a report or a wait, those for want of room for connections neither, and come in 20 ms. By kind: pequenos 49 to 498 a destination, the other kinds none. At fault: reply() counted both in 'turned' and gave connections back where it stood above 0.03. Who keeps a connection meets no refusal.

Each sender now counts, by kind, the new connections let in since one was refused, keeps the more the higher that is, and none for 60 of them after a refusal.

--- a/logic/handover.go
+++ b/logic/handover.go
@@ -13,6 +13,7 @@
 	Stray     float64
 	MeanWorth float64
 	Turned    map[int]float64
+	Room      map[int]int
 	AskAt     Micros
 	AskGap    Micros
 	ListAt    Micros
@@ -131,7 +132,7 @@
 
 // Save returns the state. The Sender must not be used afterwards, unless nobody goes on in its place.
 func (s *Sender) Save() Saved {
-	out := Saved{Now: s.now, Seq: s.seq, Logs: s.logs, Stray: s.stray, MeanWorth: s.meanWorth, Turned: s.turned,
+	out := Saved{Now: s.now, Seq: s.seq, Logs: s.logs, Stray: s.stray, MeanWorth: s.meanWorth, Turned: s.turned, Room: s.room,
 		AskAt: s.askAt, AskGap: s.askGap, ListAt: s.listAt, Watched: s.watched, Banned: slices.Sorted(maps.Keys(s.banned)), Keys: map[string]savedLine{}}
 	for i := range s.byClass {
 		out.ByClass = append(out.ByClass, s.byClass[i].save())
@@ -205,6 +206,7 @@
 	s.now, s.seq, s.logs, s.stray, s.meanWorth = x.Now, x.Seq, x.Logs, x.Stray, x.MeanWorth
 	s.askAt, s.askGap, s.listAt, s.watched = x.AskAt, x.AskGap, x.ListAt, x.Watched
 	maps.Copy(s.turned, x.Turned)
+	maps.Copy(s.room, x.Room)
 	for _, id := range x.Banned {
 		s.banned[id] = true
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -60,7 +60,8 @@
 	turnAlpha   = 0.05         // ours: weight of the newest call in a kind's share of calls turned away
 	turnShare   = 0.2          // ours: share above which a refused message of mean worth is not tried again
 	turnFirst   = 0.15         // ours: the same among many senders, before any call tells
-	turnDear    = 0.03         // ours: share above which dear connections are given back too
+	crowdRest   = 60           // ours: new connections after one was refused until any is kept again
+	crowdDoubt  = 10.0         // ours: new connections let in until every second one is kept
 	restPart    = 0.1          // ours: least mean part of its time left that a refused message rests
 	dearConn    = 0.04         // ours: price of a connection with each message above which none is given back
 	manySenders = 16           // ours: more than this, one idle connection each, may fill an endpoint
@@ -87,7 +88,7 @@
 	}
 	s := &Sender{set: set, rng: rand.New(rand.NewPCG(seed, 0)), now: math.MinInt64, askAt: never, askGap: askGap,
 		eps: map[EndpointID]*endpoint{}, banned: map[EndpointID]bool{}, dests: map[int64]*dest{},
-		msgs: map[string]*msg{}, keys: map[string]*keyLine{}, turned: map[int]float64{}}
+		msgs: map[string]*msg{}, keys: map[string]*keyLine{}, turned: map[int]float64{}, room: map[int]int{}}
 	if set.OnRequest {
 		s.askAt = math.MinInt64
 	}
@@ -346,6 +347,7 @@
 }
 
 func (s *Sender) launch(m *msg, e *endpoint) {
+	cold := s.now >= e.warm || e.inflight >= max(s.set.ConnCalls, 1) // needs a new connection
 	if !s.joins(e) {
 		e.open = &call{step: s.step}
 		s.busy++
@@ -359,6 +361,7 @@
 		}
 	}
 	a, give := s.fly(m, e), m.deadline-s.now
+	a.dialed = cold
 	if !s.set.MayCancel && m.class.Effect != Unsafe {
 		give = min(give, 2*s.stuckAfter(e.dest, m)) // nothing can be called off here: let it time out
 	}
@@ -779,6 +782,7 @@
 		x += turnAlpha
 	}
 	s.turned[e.dest.kind] = x
+	s.roomy(a, r)
 	s.report(e, r.Load)
 	if r.Outcome != Full && r.Outcome != RefusedConn && r.Outcome != Moot {
 		m.mayRun = true
@@ -829,11 +833,11 @@
 		m.rest = s.now + errorRest<<min(m.tries, 5)
 	}
 	// Connections of many senders, idle ones counted, fill an endpoint: those that we use rarely are given back,
-	// unless new ones are dear and the kind turns few away.
+	// unless new ones are dear and the kind has room.
 	e.warm = s.now + s.set.ConnIdle
 	n := len(e.sent)
 	give := s.set.ConnPrice < dearConn && (n < 2 || s.now-e.sent[n-2] > reuse)
-	if s.many && e.inflight == 0 && (give || s.turned[e.dest.kind] > turnDear) {
+	if s.many && e.inflight == 0 && (give || !s.keeps(e)) {
 		e.warm = s.now
 		s.do(Release{e.id})
 	}
@@ -844,6 +848,24 @@
 	s.endIfStuck(m)
 }
 
+// roomy notes what an attempt tells of the room for connections at a kind. Who refuses for want of it has not
+// looked at its limit: no wait, no report.
+func (s *Sender) roomy(a *attempt, r Reply) {
+	switch k := a.ep.dest.kind; {
+	case r.Outcome == Full && r.Wait == 0 && (len(r.Load) == 0 || s.set.ReportLimit < 0):
+		s.room[k] = -crowdRest
+	case a.dialed:
+		s.room[k]++
+	}
+}
+
+// keeps says whether an idle connection is kept. Who keeps one meets no refusal, so that a fleet in which all
+// keep theirs learns too late that it fills a kind: each keeps the more, the more new ones were let in.
+func (s *Sender) keeps(e *endpoint) bool {
+	n := float64(s.room[e.dest.kind])
+	return n > 0 && s.rng.Float64() < n/(n+crowdDoubt)
+}
+
 // again decides on a refused message where the floors of all senders add up past the limit. Calls tried
 // again, by clients too, use up limits that count refusals. While the kind turns few away, a message rests
 // for a part of its time left, so that clumps spread; with more, only the worthier do.
--- a/logic/state.go
+++ b/logic/state.go
@@ -73,6 +73,7 @@
 	cancelled bool
 	cut       bool // cancelled at τ
 	stuck     bool
+	dialed    bool // over a new connection
 	late      bool // counted as lasting past τ while it is out
 }
 
@@ -153,6 +154,7 @@
 	aim       Micros          // the shortest of the classes
 	stray     float64         // share of calls that fail by chance, at endpoints that are not out
 	turned    map[int]float64 // by kind, share of calls turned away
+	room      map[int]int     // by kind, new connections let in since one was refused
 	meanWorth float64         // of messages that came
 }
 
