Halve no pace and give no message up for refusals that did not look at the limit

At fault: full() halved the pace for each, reply() counted them in 'turned', by which again() gives messages up, and let the message rest as long as after a refusal above the limit, when only a connection was missing. Small fleets as before.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -778,7 +778,7 @@
 		x = turnFirst
 	}
 	x *= 1 - turnAlpha
-	if r.Outcome == Full {
+	if r.Outcome == Full && !s.unseen(r) {
 		x += turnAlpha
 	}
 	s.turned[e.dest.kind] = x
@@ -809,9 +809,17 @@
 			e.lane.until = max(e.lane.until, s.now+r.Wait)
 		}
 		if lastOfCall { // a batch is one call: one refusal
+			if !s.unseen(r) { // says nothing of what the limit leaves
+				s.refused(e.lane)
+			}
 			s.full(e, r.Wait)
 		}
-		if s.many && s.floor(e.lane) < paceFloor && !r.NoMore && !m.over {
+		switch {
+		case r.NoMore || m.over || !s.many:
+		case s.unseen(r):
+			rest := Micros(errorRest) << min(m.tries, 5)
+			m.rest = s.now + rest/2 + Micros(s.rng.Int64N(int64(rest)))
+		case s.floor(e.lane) < paceFloor:
 			s.again(m, e)
 		}
 	case Recalled, Overdue:
@@ -848,11 +856,16 @@
 	s.endIfStuck(m)
 }
 
-// roomy notes what an attempt tells of the room for connections at a kind. Who refuses for want of it has not
-// looked at its limit: no wait, no report.
+// unseen says whether many senders' connections left no room for a call: its limit was not looked at, so the
+// refusal tells neither a wait nor a report.
+func (s *Sender) unseen(r Reply) bool {
+	return s.many && r.Outcome == Full && r.Wait == 0 && len(r.Load) == 0 && s.set.ReportLimit >= 0
+}
+
+// roomy notes what an attempt tells of the room for connections at a kind.
 func (s *Sender) roomy(a *attempt, r Reply) {
 	switch k := a.ep.dest.kind; {
-	case r.Outcome == Full && r.Wait == 0 && (len(r.Load) == 0 || s.set.ReportLimit < 0):
+	case s.unseen(r) || s.set.ReportLimit < 0 && r.Outcome == Full && r.Wait == 0:
 		s.room[k] = -crowdRest
 	case a.dialed:
 		s.room[k]++
@@ -929,7 +942,6 @@
 // full notes a refusal; refusals in a row over longer than a limit's window, or a long told wait, mean shut.
 // Many senders come too rarely to tell by four: those that were refused twice would topple what opens again.
 func (s *Sender) full(e *endpoint, wait Micros) {
-	s.refused(e.lane)
 	e.fulls++
 	l := e.lane
 	if l.fulls++; l.fulls == 1 {
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -750,6 +750,32 @@
 	}
 }
 
+// A call that finds no room for its connection never came to the limit: it slows nobody down and is tried again soon,
+// while a refusal above the limit halves the pace, and with most calls turned away the message is given up.
+func TestRefusedConnectionSaysNothingOfTheLimit(t *testing.T) {
+	for _, x := range []struct {
+		load []float64
+		slow bool
+	}{{nil, false}, {[]float64{0, 5}, true}} {
+		set := base()
+		set.Senders, set.Weights, set.ReportLeft, set.ReportLimit = 20, WeightsNominal, 0, 1
+		r := newRig(t, set)
+		ev := list(1)
+		ev.Entries[0].Nominal = 100
+		r.step(0, ev)
+		r.s.turned[0], r.s.meanWorth, r.s.seq = 0.25, 2, 99
+		c := only[CallOut](r.step(1, r.call(0)))[0]
+		pace := r.s.eps[1].lane.pace
+		end := answer(c.ID, 1, 0, Full)
+		end.Load = x.load
+		ended := len(only[Fail](r.step(1.02, end))) > 0
+		again := len(only[CallOut](r.step(1.7, Due{}))) > 0
+		if l := r.s.eps[1].lane; ended != x.slow || again == x.slow || (l.pace != pace) != x.slow {
+			t.Errorf("report %v: ended %v, sent again %v, pace %v -> %v", x.load, ended, again, pace, l.pace)
+		}
+	}
+}
+
 // New connections cost time and points: among many senders the endpoint that still has one comes first.
 func TestWarmConnectionComesFirstAmongManySenders(t *testing.T) {
 	for _, senders := range []int{2, manySenders + 1} {
