Take safe values, with a word in the log, for figures and saved state that make no sense

Seen: with no number of senders in the settings the program ended; so it did for one field of another type, an unreadable known list or seed. Without a seed all senders drew the same jitter.

A field of the wrong type, the known list and the seed cost only themselves; without a seed each start draws one.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -7,10 +7,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/fnv"
 	"os"
 	"strconv"
+	"time"
 
 	"ravenmount/internal/wire"
+	"ravenmount/logic"
 )
 
 // Limits are the bounds that the platform sets for the process.
@@ -34,6 +37,7 @@
 	Deploy    wire.Deployment
 	Classes   map[string]int
 	Tenants   map[string]int
+	Doubts    []string // what makes no sense, and what was taken for it
 }
 
 // readConfig reads the file that the environment names.
@@ -93,7 +97,7 @@
 		Operator  string          `json:"operator"`
 		Seed      string          `json:"seed"`
 		Limits    Limits          `json:"limits"`
-		Known     List            `json:"known"`
+		Known     json.RawMessage `json:"known"`
 		Settings  json.RawMessage `json:"settings"`
 	}
 	if err := json.Unmarshal(text, &in); err != nil {
@@ -103,13 +107,29 @@
 	if err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	cfg := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Operator: in.Operator, Limits: in.Limits, Known: in.Known,
+	cfg := &Config{Name: in.Name, Listen: in.Listen, Discovery: in.Discovery, Operator: in.Operator, Limits: in.Limits,
 		Deploy: deploy, Classes: map[string]int{}, Tenants: map[string]int{}}
-	if in.Seed != "" {
-		if cfg.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
-			return nil, fmt.Errorf("seed: %w", err)
+	if deploy.Unread != nil {
+		cfg.Doubts = append(cfg.Doubts, fmt.Sprintf("settings: %v; taken for missing", deploy.Unread))
+	}
+	cfg.Doubts = append(cfg.Doubts, cfg.Deploy.Settings.Mend()...)
+	if t := &cfg.Deploy.ConnectTimeout; *t <= 0 || *t > logic.Micros(time.Minute.Microseconds()) {
+		cfg.Doubts = append(cfg.Doubts, fmt.Sprintf("settings: a connect timeout of %d us makes no sense, taken for 1 s", *t))
+		*t = logic.Second
+	}
+	if len(in.Known) > 0 {
+		if err := json.Unmarshal(in.Known, &cfg.Known); err != nil {
+			cfg.Doubts = append(cfg.Doubts, fmt.Sprintf("known list: %v; begun without one", err))
+			cfg.Known = List{}
 		}
 	}
+	if cfg.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
+		// Senders without one must not act in step: each has another name and address.
+		h := fnv.New64a()
+		fmt.Fprintln(h, in.Name, in.Listen, time.Now().UnixNano())
+		cfg.Seed = h.Sum64()
+		cfg.Doubts = append(cfg.Doubts, fmt.Sprintf("seed: %v; drew one", err))
+	}
 	for i, c := range deploy.Settings.Classes {
 		cfg.Classes[c.Name] = i
 	}
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -154,6 +154,7 @@
 	down    bool          // answers 503 to all
 	silent  bool          // never answers a call for the list
 	deaf    bool          // turns notices away
+	cut     bool          // its lists break off half way
 }
 
 func newPlatform(t *testing.T) *platform {
@@ -181,14 +182,21 @@
 	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
 	for {
 		p.mu.Lock()
-		list, news, down, silent := p.list, p.news, p.down, p.silent
+		list, news, down, silent, cut := p.list, p.news, p.down, p.silent, p.cut
 		p.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		if !silent && list.Generation > from {
-			json.NewEncoder(w).Encode(list)
+			text, err := json.Marshal(list)
+			if err != nil {
+				panic(err)
+			}
+			if cut {
+				text = text[:len(text)/2]
+			}
+			w.Write(text)
 			return
 		}
 		select {
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -94,6 +94,7 @@
 	file    *os.File
 	size    int64
 	limit   int64 // of one file; for the time of a rewrite there are two
+	cut     int64 // bytes that were not whole records when it was opened
 	live    int64 // rough size of what a rewrite keeps
 	seq     int
 	entries map[string]*Entry
@@ -148,10 +149,15 @@
 		j.apply(rec)
 		j.size += headerLen + int64(n)
 	}
+	info, err := f.Stat()
+	if err != nil {
+		return err
+	}
+	j.cut = info.Size() - j.size
 	if err := f.Truncate(j.size); err != nil {
 		return err
 	}
-	_, err := f.Seek(j.size, io.SeekStart)
+	_, err = f.Seek(j.size, io.SeekStart)
 	return err
 }
 
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -103,6 +103,9 @@
 		if j.Entry("a") == nil || j.Entry("b") != nil {
 			t.Fatalf("tail %d: a %v, b %v", i, j.Entry("a"), j.Entry("b"))
 		}
+		if j.cut != int64(len(text))-first {
+			t.Errorf("tail %d of %d bytes: says that %d were cut", i, int64(len(text))-first, j.cut)
+		}
 		mustAppend(t, j, accept("c", 10))
 		if j := openJournal(t, dir, 3e6); j.Entry("a") == nil || j.Entry("c") == nil {
 			t.Fatalf("tail %d: what came after it is lost", i)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -89,6 +89,9 @@
 
 // New makes a sender and replays its journal, unless another process owns it: then Run takes over from that one.
 func New(cfg *Config, log *slog.Logger) (*Node, error) {
+	for _, doubt := range cfg.Doubts {
+		log.Warn("configuration", "err", doubt)
+	}
 	set := &cfg.Deploy.Settings
 	if set.Senders >= apartFrom { // with pauses between its calls for the list
 		set.ListAge = micros(listAge) + set.DrainGrace
@@ -122,6 +125,9 @@
 		return err
 	}
 	n.journal, err = n.openJournal()
+	if err == nil && n.journal.cut > 0 {
+		n.log.Warn("journal was not whole", "cut", n.journal.cut)
+	}
 	return err
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"log/slog"
@@ -338,6 +339,77 @@
 	stopClean(t, n)
 }
 
+// A list that breaks off counts for nothing: the last whole one serves, and the sender asks again.
+func TestListCutShort(t *testing.T) {
+	p := newPlatform(t)
+	e, moved := newEndpoint(t), newEndpoint(t)
+	p.cut, p.list = true, List{Generation: 2, Reset: true, Instances: instances(moved, moved)}
+	n := startNode(t, p, t.TempDir(), List{Generation: 1, Reset: true, Instances: instances(e)})
+	c := dial(t, n.addr)
+	await(t, p.asked, "call for the list")
+	await(t, p.asked, "second call for the list")
+	c.put("a", "safe", "+OK")
+	await(t, e.calls, "call").reply(200)
+	p.set(func() { p.cut = false })
+	taken(t, p, 2)
+	c.put("b", "safe", "+OK")
+	await(t, moved.calls, "call").reply(200)
+	stopClean(t, n)
+}
+
+// What is missing or makes no sense in the configuration, or was torn in the journal, gets a line in the log, and the
+// sender serves all the same. Without a seed each start draws one of its own: senders must not act in step.
+func TestNonsenseInConfiguration(t *testing.T) {
+	p := newPlatform(t)
+	e := newEndpoint(t)
+	p.list = List{Generation: 2, Reset: true, Instances: instances(e)}
+	whole := string(configText(p, List{Generation: 1, Reset: true, Instances: instances(e)}))
+	seeds := map[uint64]bool{}
+	for _, x := range []struct{ old, with, line string }{
+		{`"balancers":1`, `"balancers":0`, "Senders of 0"}, {`"balancers":1`, `"balancers":"eighty"`, "balancers"},
+		{`"balancers":1`, `"balancers":1000000000`, "Senders of 1000000000"}, {`"balancers":1,`, ``, "Senders of 0"},
+		{`"call_slots":6`, `"call_slots":-1`, "Slots of -1"}, {`"max_open":8`, `"max_open":-8`, "MaxOpen of -8"},
+		{`"connect_timeout_s":1.5`, `"connect_timeout_s":1e300`, "connect timeout"},
+		{`"conn_idle_s":10`, `"conn_idle_s":-1e300`, "ConnIdle of"}, {`"known":{`, `"known":7,"was":{`, "known list"},
+		{`"instances":[`, `"instances":["x",`, "known list"}, {`"generation":1`, `"generation":"one"`, "known list"},
+		{`"seed":"1f"`, `"seed":"no number"`, "seed"}, {`"seed":"1f",`, ``, "seed"}, {"", "", "journal was not whole"},
+	} {
+		text := strings.Replace(whole, x.old, x.with, 1)
+		if text == whole && x.old != "" {
+			t.Fatalf("no %s in the configuration", x.old)
+		}
+		cfg, err := ParseConfig([]byte(text))
+		if err != nil {
+			t.Errorf("%s: %v", x.with, err)
+			continue
+		}
+		if x.line == "seed" {
+			if seeds[cfg.Seed] || cfg.Seed == 0 {
+				t.Errorf("%s: seed %x again", x.with, cfg.Seed)
+			}
+			seeds[cfg.Seed] = true
+		}
+		dir, log := t.TempDir(), new(bytes.Buffer)
+		if err := os.WriteFile(filepath.Join(dir, journalName), []byte("no records"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		cfg.StateDir = dir
+		n, err := New(cfg, slog.New(slog.NewTextHandler(log, nil)))
+		if err != nil {
+			t.Errorf("%s: %v", x.with, err)
+			continue
+		}
+		n.journal.Close()
+		if !strings.Contains(log.String(), x.line) {
+			t.Errorf("%s: the log has no word of %q:\n%s", x.with, x.line, log)
+		}
+		sender := startConfig(t, cfg, t.TempDir())
+		dial(t, sender.addr).put("a", "safe", "+OK")
+		await(t, e.calls, "call").reply(200)
+		stopClean(t, sender)
+	}
+}
+
 func TestDiscoverySilent(t *testing.T) {
 	p := newPlatform(t)
 	p.silent = true
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
 
@@ -74,8 +75,10 @@
 var weightModes = map[string]logic.WeightsMode{"": logic.WeightsOff, "off": logic.WeightsOff,
 	"nominal": logic.WeightsNominal, "rough": logic.WeightsRough, "live": logic.WeightsRough}
 
-// micros turns seconds of the JSON text into whole microseconds.
-func micros(s float64) logic.Micros { return logic.Micros(math.Round(s * float64(logic.Second))) }
+// micros turns seconds of the JSON text into whole microseconds. What no span can be stays far out of bounds.
+func micros(s float64) logic.Micros {
+	return logic.Micros(math.Round(max(-1e9, min(s, 1e9)) * float64(logic.Second)))
+}
 
 // Deployment is what the JSON object states: the module's settings, and what only
 // the program around it needs.
@@ -84,23 +87,26 @@
 	Me             int      // number of this sender
 	Zones          []string // names, in the order of logic.Entry.Zone
 	ConnectTimeout logic.Micros
+	Unread         error // a field of another type than it should have; it counts as missing
 }
 
 // ParseSettings reads the module's settings from the JSON object of a create
 // event. Whether the values make sense is for logic.New to say.
 func ParseSettings(text []byte) (logic.Settings, error) {
 	d, err := ParseDeployment(text)
-	return d.Settings, err
+	return d.Settings, errors.Join(err, d.Unread)
 }
 
 // ParseDeployment reads the whole JSON object.
 func ParseDeployment(text []byte) (Deployment, error) {
 	var in setup
-	if err := json.Unmarshal(text, &in); err != nil {
+	err := json.Unmarshal(text, &in)
+	unread := new(json.UnmarshalTypeError) // the rest is read all the same
+	if err != nil && !errors.As(err, &unread) {
 		return Deployment{}, err
 	}
-	set, err := in.settings()
-	return Deployment{Settings: set, Me: in.Me, Zones: in.Zones, ConnectTimeout: micros(in.Limits.ConnTimeout)}, err
+	set, bad := in.settings()
+	return Deployment{Settings: set, Me: in.Me, Zones: in.Zones, ConnectTimeout: micros(in.Limits.ConnTimeout), Unread: err}, bad
 }
 
 func (in *setup) settings() (logic.Settings, error) {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -190,8 +190,8 @@
 		}
 	}
 	e.zone, e.state = row.Zone, row.State
-	if s.set.Weights != WeightsOff && row.Nominal > 0 && !e.lane.told {
-		e.lane.limit = row.Nominal
+	if s.set.Weights != WeightsOff && row.Nominal > 0 && row.Nominal <= mostRate && !e.lane.told {
+		e.lane.limit = max(row.Nominal, leastRate)
 	}
 }
 
@@ -506,7 +506,7 @@
 			own /= float64(len(e.dest.eps))
 		}
 		most = max(most, k*min(own, c/2))
-		long = Micros(float64(long) / min(most, 1))
+		long = micros(float64(long) / min(most, 1))
 		at := max(e.lane.until, e.dest.downAt)
 		if n := len(last); n > 0 {
 			at = max(at, last[n-1]+long/2)
@@ -566,7 +566,7 @@
 	if l.tokens >= 1-1e-9 {
 		return 0
 	}
-	return s.now + Micros((1-l.tokens)/r*float64(Second)) + 1
+	return s.now + micros((1-l.tokens)/r*float64(Second)) + 1
 }
 
 // refused slows a lane down: the pace starts at the last second's rate and is halved at most once a second.
--- a/logic/rules_test.go
+++ b/logic/rules_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
+	"strings"
 	"testing"
 )
 
@@ -86,3 +88,90 @@
 		}
 	}
 }
+
+// Figures that are missing or make no sense get a safe value and a word, each once; what can be used stays.
+func TestMendTakesSafeValues(t *testing.T) {
+	nan, huge := math.NaN(), math.MaxFloat64
+	for want, f := range map[string]func(*Settings){
+		"Senders of 0 makes no sense, taken for 16":             func(s *Settings) { s.Senders = 0 },
+		"Senders of -3 makes no sense, taken for 16":            func(s *Settings) { s.Senders = -3 },
+		"Senders of 1000000000 makes no sense, taken for 10000": func(s *Settings) { s.Senders = 1e9 },
+		"Slots of 0 makes no sense, taken for 1":                func(s *Settings) { s.Slots = 0 },
+		"MaxOpen of -1 makes no sense, taken for 0":             func(s *Settings) { s.MaxOpen = -1 },
+		"MaxTries of 0 makes no sense, taken for 6":             func(s *Settings) { s.MaxTries = 0 },
+		"ConnPrice of NaN makes no sense, taken for 0":          func(s *Settings) { s.ConnPrice = nan },
+		"ConnPrice of -0.1 makes no sense, taken for 0":         func(s *Settings) { s.ConnPrice = -0.1 },
+		"ConnIdle of -1 makes no sense, taken for 0":            func(s *Settings) { s.ConnIdle = -1 },
+		"FallMultiple of 0 makes no sense, taken for 2":         func(s *Settings) { s.FallMultiple = 0 },
+		"FallWindow of 0 makes no sense, taken for 2000000":     func(s *Settings) { s.FallWindow = 0 },
+		"ColdFrom of 2 makes no sense, taken for 0.2":           func(s *Settings) { s.ColdFrom = 2 },
+		"WarmAfter of 0 makes no sense, taken for 14000000":     func(s *Settings) { s.WarmAfter = 0 },
+		"Tenants[0] of -2 makes no sense, taken for 0":          func(s *Settings) { s.Tenants = []Tenant{{"t", -2}} },
+		"Kinds[0].Batch of -1 makes no sense, taken for 1":      func(s *Settings) { s.Kinds[0].Batch = -1 },
+		"": func(*Settings) {},
+		"MaxRetryAfter of 9223372036854775807 makes no sense, taken for 0":      func(s *Settings) { s.MaxRetryAfter = never },
+		"OverShareWorth of 1.7976931348623157e+308 makes no sense, taken for 1": func(s *Settings) { s.OverShareWorth = huge },
+	} {
+		set := base()
+		set.ConnCalls = 1
+		f(&set)
+		said := set.Mend()
+		if strings.Join(said, "; ") != strings.TrimSuffix("settings: "+want, "settings: ") {
+			t.Errorf("want %q, said %q", want, said)
+		}
+		if again := set.Mend(); len(again) > 0 {
+			t.Errorf("%s: said again %q", want, again)
+		}
+		if _, err := New(set, 1); err != nil {
+			t.Errorf("%s: %v", want, err)
+		}
+	}
+	var none Settings
+	none.Classes = base().Classes
+	none.Mend()
+	if _, err := New(none, 1); err != nil {
+		t.Errorf("nothing but classes: %v", err)
+	}
+}
+
+// Limits and reports that make no sense neither open the gates nor close them: the calls go on at a sane pace, and every
+// message ends in time.
+func TestNonsenseInReports(t *testing.T) {
+	for _, load := range [][]float64{{math.NaN(), math.NaN()}, {-1, -1}, {1e300, math.Inf(1)}, {0.5, 0}, {math.Inf(-1), 1e300},
+		{0.5}, nil, {1, 1e-300}, {0, 5e-324}} {
+		for _, nominal := range []float64{0, -1, 40, 1e-300, 1e308, math.Inf(1), math.NaN()} {
+			set := base()
+			set.Senders, set.Weights, set.ReportLeft, set.ReportLimit = 80, WeightsRough, 0, 1
+			r := newRig(t, set)
+			ev := list(1)
+			ev.Entries[0].Nominal = nominal
+			r.step(0, ev)
+			ended, sent := 0, 0
+			for i := range 400 {
+				at := 0.1 * float64(i+1)
+				evs := []Event{Due{}}
+				if i < 20 {
+					evs = append(evs, r.call(0))
+				}
+				acts := r.step(at, evs...)
+				for len(acts) > 0 {
+					ended += len(only[Fail](acts)) + len(only[Refuse](acts))
+					var next []Event
+					for _, c := range only[CallOut](acts) {
+						sent++
+						x := answer(c.ID, 1, 0, Completed)
+						x.Load = load
+						next, ended = append(next, x), ended+1
+					}
+					if acts = nil; len(next) > 0 {
+						acts = r.step(at, next...)
+					}
+				}
+			}
+			tiny := nominal == 1e-300 || len(load) == 2 && load[1] > 0 && load[1] < 1
+			if ended != 20 || tiny && sent > 12 || !tiny && sent < 3 {
+				t.Errorf("load %v, nominal %v: %d ended, %d sent", load, nominal, ended, sent)
+			}
+		}
+	}
+}
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -1,6 +1,58 @@
 package logic
 
-import "fmt"
+import (
+	"cmp"
+	"fmt"
+	"math"
+)
+
+const (
+	mostSenders = 10_000 // more than that is no fleet: shares of a limit would come to nothing
+	mostSpan    = 3600 * Second
+	mostWait    = 24 * mostSpan
+	mostRate    = 1e12 // calls a second; a limit above it counts as not told
+	leastRate   = 1e-3 // and one below this for this
+)
+
+// Mend takes a safe value for each figure that is missing or makes no sense and can be done without, and says
+// which. What stays wrong is for [New] to refuse.
+func (set *Settings) Mend() (said []string) {
+	// Taken for too many, a sender is slow until answers tell what is left of a limit; for too few, it costs the
+	// others their calls.
+	within(&said, "Senders", &set.Senders, 1, math.MaxInt, manySenders)
+	within(&said, "Senders", &set.Senders, 1, mostSenders, mostSenders)
+	within(&said, "Slots", &set.Slots, 1, 1<<16, 1)
+	within(&said, "MaxOpen", &set.MaxOpen, 0, 1<<20, 0)
+	within(&said, "MaxTries", &set.MaxTries, 1, 6, 6)
+	within(&said, "Tick", &set.Tick, 0, Second, 5000)
+	within(&said, "ConnIdle", &set.ConnIdle, 0, mostSpan, 0)
+	within(&said, "ConnCalls", &set.ConnCalls, 1, 1<<16, 1)
+	within(&said, "ConnPrice", &set.ConnPrice, 0, 1e6, 0)
+	within(&said, "MaxRetryAfter", &set.MaxRetryAfter, 0, mostSpan, 0)
+	within(&said, "OverShareWorth", &set.OverShareWorth, 0, 1, 1)
+	within(&said, "DrainGrace", &set.DrainGrace, 0, mostSpan, 0)
+	within(&said, "FallMultiple", &set.FallMultiple, 1e-3, 1e6, 2)
+	within(&said, "FallWindow", &set.FallWindow, 1, mostSpan, 2*Second)
+	within(&said, "ColdFrom", &set.ColdFrom, 1e-3, 1, 0.2)
+	within(&said, "WarmAfter", &set.WarmAfter, 1, mostSpan, 14*Second)
+	within(&said, "KeyQuiet", &set.KeyQuiet, 0, mostSpan, 0)
+	for i := range set.Tenants {
+		within(&said, fmt.Sprintf("Tenants[%d]", i), &set.Tenants[i].QuotaRPS, 0, 1e9, 0)
+	}
+	for i := range set.Kinds {
+		within(&said, fmt.Sprintf("Kinds[%d].Batch", i), &set.Kinds[i].Batch, 0, 1<<16, 1)
+	}
+	return said
+}
+
+// within takes the value for one that is not between the bounds.
+func within[T cmp.Ordered](said *[]string, name string, x *T, least, most, value T) {
+	if *x >= least && *x <= most {
+		return
+	}
+	*said = append(*said, fmt.Sprintf("settings: %s of %v makes no sense, taken for %v", name, *x, value))
+	*x = value
+}
 
 // check says which setting makes no sense.
 func check(set *Settings) error {
--- a/logic/state.go
+++ b/logic/state.go
@@ -241,10 +241,10 @@
 
 // report takes the limit that an answer tells.
 func (s *Sender) report(e *endpoint, load []float64) {
-	if i := s.set.ReportLimit; i >= 0 && i < len(load) && load[i] > 0 {
-		e.lane.limit, e.lane.told = load[i], true
+	if i := s.set.ReportLimit; i >= 0 && i < len(load) && load[i] > 0 && load[i] <= mostRate {
+		e.lane.limit, e.lane.told = max(load[i], leastRate), true
 	}
-	if i := s.set.ReportLeft; i >= 0 && i < len(load) && e.lane.limit > 0 {
+	if i := s.set.ReportLeft; i >= 0 && i < len(load) && load[i] >= 0 && e.lane.limit > 0 {
 		e.lane.left = min(load[i], 1)
 	}
 }
@@ -319,6 +319,15 @@
 // seconds is a span as a number.
 func seconds(t Micros) float64 { return float64(t) / float64(Second) }
 
+// micros is a number of microseconds as a span. Figures that make no sense come to a day at most: more might
+// overflow.
+func micros(x float64) Micros {
+	if !(x <= float64(mostWait)) {
+		return mostWait
+	}
+	return Micros(max(x, 0))
+}
+
 // accept takes a new message into the books.
 func (s *Sender) accept(c Call) {
 	if s.msgs[c.ID] != nil {
