Make room by answered connections before silent new ones, whose first request fails

Counted: some 42 connections a second at each sender say nothing for 1.5 s and make room, as many as messages are missing. They are clients that connect a while before their first request.

At fault: standing.rank() in clients.go: silent for 0.3 s went before answered. A closed connection takes its first request with it; one that crosses on an answered connection is sent again. Now the answered go first; who has been silent for 2 s goes with those idle for 2 s.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -71,9 +71,9 @@
 	heard  time.Time // when the last byte came; zero if none has
 }
 
-// rank says what it costs to close a connection for another, least first: one that has stood idle long; one that is
-// silent or stands still with its first request; one that has its answer, which the protocol lets us close at any time
-// between requests, though clients count on 2 s; and one that is new or comes on, if slowly. At -1 it must not be.
+// rank says what it costs to close a connection for another, least first: one that has stood idle or silent for as long
+// as clients count on; one that has its answer, since a request that crosses is sent again; one that is silent or stands
+// still with its first request, which fails with it; and one that is new or comes on, if slowly. At -1 it must not be.
 func (x *standing) rank(now time.Time) (rank int, since time.Time) {
 	last := x.since
 	if x.heard.After(last) {
@@ -82,12 +82,12 @@
 	switch {
 	case x.evict || x.whole || x.busy && x.proven:
 		return -1, last
-	case x.proven && now.Sub(x.since) >= idleLeast:
+	case x.proven && now.Sub(x.since) >= idleLeast || !x.proven && now.Sub(last) >= idleLeast:
 		return 0, last
 	case x.proven:
-		return 2, last
-	case now.Sub(last) > stallTime:
 		return 1, last
+	case now.Sub(last) > stallTime:
+		return 2, last
 	}
 	return 3, last
 }
--- a/internal/node/crowd_test.go
+++ b/internal/node/crowd_test.go
@@ -33,6 +33,22 @@
 	}
 }
 
+// A client may connect a while before its first request, which fails with the connection; one that has its answer sends
+// a request that crosses once more. So in a full table the answered ones make room first.
+func TestSilentClientOutlastsAnswered(t *testing.T) {
+	c, addr := smallTable(t)
+	late := dial(t, addr)
+	time.Sleep(stallTime + stallTime/4) // the client's pause
+	for i := range 2 * c.most {
+		if got := dial(t, addr).do("PING"); got != "+PONG" {
+			t.Fatalf("connection %d: got %q", i, got)
+		}
+	}
+	if got := late.do("PING"); got != "+PONG" {
+		t.Errorf("first request after a pause: got %q", got)
+	}
+}
+
 // A burst of new connections finds room however busy the readers of those are that make it.
 func TestBurstFindsRoom(t *testing.T) {
 	c, _ := smallTable(t)
