Ask for the list at the start, and pause only where discovery is late with it

Running senders paused up to 4.7 s after news that a watch had waited for, and did not ask the new address after a SIGHUP until then: 7.490 msg=asked gen=2 n=1 took=2.227328896s 7.667 msg="discovery has moved" addr=127.12.0.1:8501 12.099 msg=ask url=http://127.12.0.1:8501/discovery/hosts

At fault: the wait of up to 5.25 s before the first call in watch() (discovery.go), and the pause after any answer that took over 1.3 s there, since a watch's time is that of waiting, not of a busy discovery; move() woke no pause.

Ruled out: calls that connected long (none of the late ones was out for over 4 ms before its write), answers lost to a move (the calls cancelled had none), senders told late by discovery (its answers were out within 1.1 s of the change, and they broke nothing).

Now the first call comes with the start and does not wait for news: late with it, discovery is busy, and pauses stay as they were. Nothing goes out on a saved list before that answer, for 0.3 s at most. A move ends a pause.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -20,14 +20,15 @@
 	watchHold  = 4 * time.Second // how long a watch may wait for news; one that is lost shows soon after
 	watchSlack = time.Second     // and how much later its answer may come; changes count as told 2 s later
 	listTime   = 2 * time.Second // for the whole list, which comes at once where it comes at all
-	// Calls of a fleet add up: discovery takes one after the other, turns away what waits for 2 s, and what it turned
-	// away costs it time too. Many senders go on watching while it answers soon, and pause once it is overbooked.
+	// Calls of a fleet add up: where discovery takes one after the other, it turns away what waits for 2 s, and what it
+	// turned away costs it time too. Many senders go on watching while it answers soon, and pause once it is overbooked.
 	apartFrom  = 8                       // senders from which on that is so
 	apartHold  = 18 * time.Second        // how long a watch may wait for news then
 	apartBusy  = 1300 * time.Millisecond // an answer with news that took longer is followed by a pause
 	apartEach  = 145 * time.Millisecond  // the mean of that, for each sender ...
 	apartMost  = 4400 * time.Millisecond // ... and the longest mean: with 2 s for the next answer it stays under listAge
-	firstMost  = 5250 * time.Millisecond // before the first call: a fleet that restarts meets discovery all at once
+	prompt     = 100 * time.Millisecond  // an answer that need not wait for news comes sooner, unless discovery is busy
+	promptHold = time.Millisecond        // hold of the call that asks for such an answer
 	accepted   = 2200 * time.Millisecond // a call that is out for longer was not turned away: it waits for news
 	listAge    = 5800 * time.Millisecond // of an answer, when what changed since counts as told; a bit less than 6 s
 	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing
@@ -121,11 +122,12 @@
 	events  chan<- any
 	hold    time.Duration // how long a watch may wait for news
 	apart   time.Duration // mean pause after news from discovery that is busy
-	first   time.Duration // longest pause before the first call
 	rng     *rand.Rand    // sets our calls apart from those of other senders; used by one watch at a time, as are ...
 	gen     int64         // ... the version of the list that the loop has ...
-	begun   bool          // ... whether the first watch has begun ...
+	begun   bool          // ... whether the first call has been made ...
+	busy    bool          // ... whether discovery was late with an answer that need not wait for news, or failed ...
 	started bool          // ... and whether there is such a list
+	turn    chan struct{} // wakes a pause: discovery has moved
 	mu      sync.Mutex
 	base    string
 	moved   bool               // since the last call began
@@ -133,30 +135,33 @@
 }
 
 func newDiscovery(addr string, senders int, seed uint64, log *slog.Logger, events chan<- any) *discovery {
-	hold, apart, first := watchHold, time.Duration(0), time.Duration(0)
+	hold, apart := watchHold, time.Duration(0)
 	if senders >= apartFrom {
-		each := time.Duration(min(senders, 1000)) * apartEach
-		hold, apart, first = apartHold, min(each, apartMost), min(each, firstMost)
+		hold, apart = apartHold, min(time.Duration(min(senders, 1000))*apartEach, apartMost)
 	}
-	return &discovery{base: "http://" + addr, hold: hold, apart: apart, first: first, rng: rand.New(rand.NewPCG(seed, 1)), log: log, events: events, client: &http.Client{Transport: &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
-		MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
+	return &discovery{base: "http://" + addr, hold: hold, apart: apart, rng: rand.New(rand.NewPCG(seed, 1)), log: log, events: events,
+		turn: make(chan struct{}, 1), client: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
 }
 
-// watch reports changes until a call fails. Each call follows the last answer at
-// once, so that nothing is missed in between, unless discovery is overbooked.
+// watch reports changes until a call fails. Each call follows the last answer at once, so that nothing is missed in
+// between, unless discovery is overbooked. The first comes with the start: what it would tell counts as told. Among
+// many senders it does not wait for news, which shows whether discovery has time; a watch's answer shows that to none.
 func (d *discovery) watch(ctx context.Context) {
-	if d.apart > 0 && !d.begun { // a fleet that starts at once asks at once
-		d.begun = true
-		wait(ctx, time.Duration(d.rng.Int64N(int64(d.first))))
-	}
 	for ctx.Err() == nil {
+		first := d.apart > 0 && !d.begun
+		d.begun = true
 		call, base, moved := d.begin(ctx)
 		if moved { // its list begins anew: the versions of another address may be others
 			d.started = false
 		}
 		url, limit := base+"/discovery/hosts", listTime
-		if d.started {
+		direct := !d.started || first // the answer need not wait for news
+		switch {
+		case d.started && first:
+			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, promptHold.Milliseconds())
+		case d.started:
 			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, d.hold.Milliseconds())
 			limit = d.hold + watchSlack
 		}
@@ -169,19 +174,23 @@
 		}
 		if err != nil {
 			d.log.Warn("discovery", "err", err)
+			d.busy = true
 			d.events <- listEvent{err: err}
 			return
 		}
 		d.gen, d.started = list.Generation, true
 		d.events <- listEvent{list: list}
-		pause := time.Duration(0)
-		switch took := time.Since(at); {
-		case len(list.Instances) == 0 && took < emptyPause:
+		pause, took := time.Duration(0), time.Since(at)
+		if direct || took < prompt {
+			d.busy = took >= prompt
+		}
+		switch {
+		case len(list.Instances) == 0 && took < emptyPause && !direct:
 			pause = emptyPause
-		case d.apart > 0 && len(list.Instances) > 0 && took > apartBusy:
+		case d.busy && d.apart > 0 && len(list.Instances) > 0 && took > apartBusy:
 			pause = d.apart*92/100 + time.Duration(d.rng.Int64N(int64(d.apart)*16/100))
 		}
-		wait(ctx, pause)
+		d.wait(ctx, pause)
 	}
 }
 
@@ -210,10 +219,11 @@
 	return a.list, a.err
 }
 
-// wait pauses, unless ctx ends it.
-func wait(ctx context.Context, pause time.Duration) {
+// wait pauses, unless ctx or a move of discovery ends it.
+func (d *discovery) wait(ctx context.Context, pause time.Duration) {
 	select {
 	case <-ctx.Done():
+	case <-d.turn:
 	case <-time.After(pause):
 	}
 }
@@ -223,6 +233,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	moved, d.moved = d.moved, false
+	select {
+	case <-d.turn: // this call goes to the new address
+	default:
+	}
 	call, d.cut = context.WithCancel(ctx)
 	return call, d.base, moved
 }
@@ -251,6 +265,10 @@
 	if d.cut != nil {
 		d.cut()
 	}
+	select {
+	case d.turn <- struct{}{}:
+	default: // one that is not taken yet stands for this one too
+	}
 }
 
 func (d *discovery) get(ctx context.Context, url string, limit time.Duration) (List, error) {
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -9,41 +9,76 @@
 )
 
 // A fleet watches like few senders while discovery answers soon: what changes within 0.2 s of an answer that no further
-// call follows counts as told, though nothing tells it. Once an answer with news is late, discovery is overbooked by
-// such calls, and each of many senders pauses.
+// call follows counts as told, though nothing tells it. A watch that waited for news does not tell whether discovery has
+// time; the first call does, which comes with the start. Where its answer is late, discovery is overbooked by such
+// calls, and each of many senders pauses.
 func TestWatchPausesWhereDiscoveryIsBusy(t *testing.T) {
-	for _, senders := range []int{2, 10} {
+	for _, x := range []struct {
+		senders int
+		late    time.Duration // of the first answer
+	}{{2, 0}, {10, 0}, {10, 2 * prompt}, {300, 0}} {
 		p := newPlatform(t)
 		p.list = List{Generation: 3, Reset: true, Instances: []Instance{{ID: "a", Lifecycle: "up"}}}
+		p.late = x.late
 		events := make(chan any, 8)
-		d := newDiscovery(strings.TrimPrefix(p.srv.URL, "http://"), senders, 5, slog.New(slog.DiscardHandler), events)
+		d := newDiscovery(strings.TrimPrefix(p.srv.URL, "http://"), x.senders, 5, slog.New(slog.DiscardHandler), events)
+		d.gen, d.started = 2, true // the list of the configuration
 		ctx, stop := context.WithCancel(context.Background())
 		done := make(chan struct{})
+		at := time.Now()
 		go func() { defer close(done); d.watch(ctx) }()
-		await(t, p.asked, "first call")
+		first, watch := "from=2&hold_ms=4000", "from=4&hold_ms=4000"
+		if x.senders >= apartFrom {
+			first, watch = "from=2&hold_ms=1", "from=4&hold_ms=18000"
+		}
+		if query := await(t, p.asked, "first call"); query != first || time.Since(at) > 100*time.Millisecond {
+			t.Errorf("%+v: %s %v after the start, want %s at once", x, query, time.Since(at), first)
+		}
 		await(t, events, "list")
-		at := time.Now()
+		at = time.Now()
 		await(t, p.asked, "watch")
 		if gap := time.Since(at); gap > 100*time.Millisecond {
-			t.Errorf("%d senders: the watch began %v after the list", senders, gap)
+			t.Errorf("%+v: the watch began %v after the list", x, gap)
 		}
 		<-time.After(apartBusy + 50*time.Millisecond)
 		p.set(func() { p.list = List{Generation: 4, Instances: []Instance{{ID: "a", Lifecycle: "up"}}} })
 		await(t, events, "news")
 		at = time.Now()
 		query := await(t, p.asked, "next watch")
-		least, hold := time.Duration(0), "from=4&hold_ms=4000"
-		if senders >= apartFrom {
-			least, hold = time.Duration(senders)*apartEach*90/100, "from=4&hold_ms=18000"
+		least := time.Duration(0)
+		if x.late > 0 {
+			least = time.Duration(x.senders) * apartEach * 90 / 100
 		}
-		if gap := time.Since(at); gap < least || least == 0 && gap > 100*time.Millisecond || query != hold {
-			t.Errorf("%d senders: %s after %v, want %s after %v at least", senders, query, gap, hold, least)
+		if gap := time.Since(at); gap < least || least == 0 && gap > 100*time.Millisecond || query != watch {
+			t.Errorf("%+v: %s after %v, want %s after %v at least", x, query, gap, watch, least)
 		}
 		stop()
 		<-done
 	}
 }
 
+// A sender that pauses asks the new address at once when discovery moves: what it has to tell counts as told 4 s after
+// the signal, and a pause may last longer.
+func TestMoveEndsAPause(t *testing.T) {
+	p := newPlatform(t)
+	p.list = List{Generation: 3, Reset: true, Instances: []Instance{{ID: "a", Lifecycle: "up"}}}
+	p.late = apartBusy + prompt
+	events := make(chan any, 8)
+	d := newDiscovery(strings.TrimPrefix(p.srv.URL, "http://"), 300, 5, slog.New(slog.DiscardHandler), events)
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); d.watch(ctx) }()
+	await(t, p.asked, "first call")
+	await(t, events, "list")
+	at := time.Now()
+	d.move(strings.TrimPrefix(p.srv.URL, "http://"))
+	if query := await(t, p.asked, "call to the new address"); query != "" || time.Since(at) > 500*time.Millisecond {
+		t.Errorf("%q %v after the move, want the whole list at once", query, time.Since(at))
+	}
+	stop()
+	<-done
+}
+
 // A call that is out for longer than discovery turns calls away waits for news, and the loop is told so.
 func TestWatchThatWaitsIsTold(t *testing.T) {
 	p := newPlatform(t)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -153,6 +153,7 @@
 	news    chan struct{} // closed when the list changes
 	down    bool          // answers 503 to all
 	silent  bool          // never answers a call for the list
+	late    time.Duration // of its answer to the next call for the list
 	deaf    bool          // turns notices away
 	cut     bool          // its lists break off half way
 }
@@ -180,6 +181,14 @@
 func (p *platform) hosts(w http.ResponseWriter, r *http.Request) {
 	p.asked <- r.URL.RawQuery
 	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	hold, _ := strconv.ParseInt(r.URL.Query().Get("hold_ms"), 10, 64)
+	p.mu.Lock()
+	late := p.late
+	p.late = 0
+	p.mu.Unlock()
+	time.Sleep(late)
+	over := time.NewTimer(time.Duration(hold) * time.Millisecond)
+	defer over.Stop()
 	for {
 		p.mu.Lock()
 		list, news, down, silent, cut := p.list, p.news, p.down, p.silent, p.cut
@@ -201,6 +210,11 @@
 		}
 		select {
 		case <-news:
+		case <-over.C:
+			if !silent {
+				fmt.Fprintf(w, `{"generation":%d,"reset":false,"instances":[]}`, list.Generation)
+				return
+			}
 		case <-r.Context().Done():
 			return
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -72,6 +72,7 @@
 	holdHalf  = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
 	holdFull  = 0.9        // ours: share of the hold above which the least worthy are refused
 	staleMost = 4 * Second // ours: nothing is sent on an old list for so long
+	savedMost = 300_000    // ours: nor on a saved one: the first answer comes at once if discovery has time
 	askGap    = 50_000     // ours: first pause before the list is asked for again; what changes ...
 	askMost   = Second / 2 // ours: ... meanwhile counts as told, so the longest is under a drain's grace
 	askEach   = 25_000     // ours: the first pause for each of many senders, whose calls add up
@@ -122,6 +123,7 @@
 	if ev.Form != ListFailed || s.watched {
 		s.listAt = s.now
 	}
+	s.saved = ev.Form == ListCached
 	if s.watched = ev.Form == ListWatched; s.watched {
 		return
 	}
@@ -427,8 +429,12 @@
 }
 
 // staleTill is the time until which nothing is sent since the list is old: what changes counts as told some
-// time later, even if nothing came. It ends with the next news, or after a while: discovery may be down long.
+// time later, even if nothing came, and so does what changed before a start on a saved list. It ends with the
+// next news, or after a while: discovery may be down long.
 func (s *Sender) staleTill() Micros {
+	if s.saved && s.set.ListAge > 0 && s.now < s.listAt+savedMost {
+		return s.listAt + savedMost
+	}
 	old := s.listAt + s.set.ListAge
 	if s.set.ListAge <= 0 || s.watched || s.now < old || s.now >= old+staleMost {
 		return longAgo
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -671,6 +671,33 @@
 	}
 }
 
+// Found on the full fleet's restarts: a sender that came back sent on its saved list to what had begun to drain while it
+// was away. What discovery would tell counts as told, so nothing goes out before its first answer, nor for long
+// where none comes.
+func TestNothingGoesOutOnASavedList(t *testing.T) {
+	for _, x := range []struct {
+		age  Micros
+		at   float64
+		news Event
+		sent int
+	}{{7 * Second, 0, nil, 0}, {7 * Second, 0.1, Endpoints{Form: ListDelta}, 1}, {7 * Second, 0.1, Endpoints{Form: ListFailed}, 1},
+		{7 * Second, seconds(savedMost) + 0.01, nil, 1}, {0, 0, nil, 1}} {
+		set := base()
+		set.ListAge = x.age
+		r := newRig(t, set)
+		saved := list(1)
+		saved.Form = ListCached
+		r.step(0, saved)
+		evs := []Event{r.call(0)}
+		if x.news != nil {
+			evs = append(evs, x.news)
+		}
+		if n := len(only[CallOut](r.step(x.at, evs...))); n != x.sent {
+			t.Errorf("%+v: %d sends", x, n)
+		}
+	}
+}
+
 // Found on the fleet's days: a clump met the free first sends of eighty senders, and since refused calls use the limit
 // up, next to nothing was taken for seconds. Their calls must add up to the limit, and with all of it left none waits
 // past its aim.
--- a/logic/state.go
+++ b/logic/state.go
@@ -148,6 +148,7 @@
 	askGap    Micros
 	listAt    Micros // when the list was told last
 	watched   bool   // and what changes since is told at once
+	saved     bool   // it is as saved before the start
 	closeAt   Micros // when this sender stops; 0 if it does not
 	logs      int
 	many      bool            // senders
