Spread a first start's calls for the list where that helps, and learn from them if discovery is late

At fault: watch() in discovery.go had no spread left, and nothing told the two kinds of discovery apart.

Now the first call of each start does not wait for news, and its time shows whether discovery is late; only then are there pauses.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -27,7 +28,9 @@
 	apartBusy  = 1300 * time.Millisecond // an answer with news that took longer is followed by a pause
 	apartEach  = 145 * time.Millisecond  // the mean of that, for each sender ...
 	apartMost  = 4400 * time.Millisecond // ... and the longest mean: with 2 s for the next answer it stays under listAge
-	prompt     = 100 * time.Millisecond  // an answer that need not wait for news comes sooner, unless discovery is busy
+	firstMost  = 5250 * time.Millisecond // before the first call: a fleet that starts meets discovery all at once ...
+	firstEach  = 50 * time.Millisecond   // ... where that can help: discovery needs so long for a call without news
+	prompt     = 25 * time.Millisecond   // an answer that need not wait for news comes sooner, unless discovery is busy
 	promptHold = time.Millisecond        // hold of the call that asks for such an answer
 	accepted   = 2200 * time.Millisecond // a call that is out for longer was not turned away: it waits for news
 	listAge    = 5800 * time.Millisecond // of an answer, when what changed since counts as told; a bit less than 6 s
@@ -35,6 +38,9 @@
 	maxList    = 4 << 20
 )
 
+// errTurnedAway says that discovery has no time for a call.
+var errTurnedAway = errors.New("discovery answered 503")
+
 // List is discovery's answer.
 type List struct {
 	Generation int64      `json:"generation"`
@@ -122,10 +128,12 @@
 	events  chan<- any
 	hold    time.Duration // how long a watch may wait for news
 	apart   time.Duration // mean pause after news from discovery that is busy
+	first   time.Duration // longest pause before the first call
 	rng     *rand.Rand    // sets our calls apart from those of other senders; used by one watch at a time, as are ...
 	gen     int64         // ... the version of the list that the loop has ...
+	back    bool          // ... whether this is a restart ...
 	begun   bool          // ... whether the first call has been made ...
-	busy    bool          // ... whether discovery was late with an answer that need not wait for news, or failed ...
+	busy    bool          // ... whether discovery is too busy for many senders that ask at once ...
 	started bool          // ... and whether there is such a list
 	turn    chan struct{} // wakes a pause: discovery has moved
 	mu      sync.Mutex
@@ -134,21 +142,31 @@
 	cut     context.CancelFunc // ends the call under way
 }
 
-func newDiscovery(addr string, senders int, seed uint64, log *slog.Logger, events chan<- any) *discovery {
-	hold, apart := watchHold, time.Duration(0)
+func newDiscovery(addr string, senders int, grace time.Duration, seed uint64, log *slog.Logger, events chan<- any) *discovery {
+	hold, apart, first := watchHold, time.Duration(0), time.Duration(0)
 	if senders >= apartFrom {
-		hold, apart = apartHold, min(time.Duration(min(senders, 1000))*apartEach, apartMost)
+		each := time.Duration(min(senders, 1000)) * apartEach
+		hold, apart, first = apartHold, min(each, apartMost), min(each, firstMost)
+		if time.Duration(min(senders, 1000))*firstEach > firstMost {
+			// If discovery took one call after the other, no spread would do. It is as the protocol has it, with an
+			// answer at once, and what begins to drain after the start may still be called for the grace.
+			first = min(first, grace)
+		}
 	}
-	return &discovery{base: "http://" + addr, hold: hold, apart: apart, rng: rand.New(rand.NewPCG(seed, 1)), log: log, events: events,
+	return &discovery{base: "http://" + addr, hold: hold, apart: apart, first: first, rng: rand.New(rand.NewPCG(seed, 1)), log: log, events: events,
 		turn: make(chan struct{}, 1), client: &http.Client{Transport: &http.Transport{
 			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
 			MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
 }
 
 // watch reports changes until a call fails. Each call follows the last answer at once, so that nothing is missed in
-// between, unless discovery is overbooked. The first comes with the start: what it would tell counts as told. Among
-// many senders it does not wait for news, which shows whether discovery has time; a watch's answer shows that to none.
+// between, unless discovery is overbooked. Among many senders the first does not wait for news, which shows whether
+// discovery has time; how long a watch takes tells of the news alone. A restarted sender makes it at once: what it
+// would be told counts as told. At a first start the list is new, and a fleet's calls spread.
 func (d *discovery) watch(ctx context.Context) {
+	if d.first > 0 && !d.begun && !d.back {
+		d.wait(ctx, time.Duration(d.rng.Int64N(int64(d.first))))
+	}
 	for ctx.Err() == nil {
 		first := d.apart > 0 && !d.begun
 		d.begun = true
@@ -174,20 +192,20 @@
 		}
 		if err != nil {
 			d.log.Warn("discovery", "err", err)
-			d.busy = true
+			d.busy = d.busy || errors.Is(err, errTurnedAway)
 			d.events <- listEvent{err: err}
 			return
 		}
 		d.gen, d.started = list.Generation, true
-		d.events <- listEvent{list: list}
 		pause, took := time.Duration(0), time.Since(at)
-		if direct || took < prompt {
+		if direct || len(list.Instances) > 0 && took < prompt {
 			d.busy = took >= prompt
 		}
+		d.events <- listEvent{list: list}
 		switch {
 		case len(list.Instances) == 0 && took < emptyPause && !direct:
 			pause = emptyPause
-		case d.busy && d.apart > 0 && len(list.Instances) > 0 && took > apartBusy:
+		case d.busy && d.apart > 0 && (len(list.Instances) > 0 && took > apartBusy || len(list.Instances) == 0 && first):
 			pause = d.apart*92/100 + time.Duration(d.rng.Int64N(int64(d.apart)*16/100))
 		}
 		d.wait(ctx, pause)
@@ -286,6 +304,9 @@
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			return list, errTurnedAway
+		}
 		return list, fmt.Errorf("discovery answered %s", resp.Status)
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&list); err != nil {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -107,7 +107,7 @@
 	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, heirs: make(chan heir), dir: newDirectory(cfg),
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
 		events: make(chan any, eventRoom), orders: make(chan order), ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
-	n.disc = newDiscovery(cfg.Discovery, set.Senders, cfg.Seed, log, n.events)
+	n.disc = newDiscovery(cfg.Discovery, set.Senders, span(set.DrainGrace), cfg.Seed, log, n.events)
 	n.notices = newNotices(cfg.Discovery, log, n.events)
 	n.clients = newClients(cfg, log, n.events)
 	if cfg.Operator != "" {
@@ -369,11 +369,13 @@
 	}
 }
 
-// resume hands the module what the journal holds, with what became of it so far.
+// resume hands the module what the journal holds, with what became of it so far. A journal shows that this is a
+// restart: what changed meanwhile is not in the list of the configuration.
 func (n *Node) resume() {
+	n.disc.back = n.journal.size > 0
 	if n.cfg.Known.Generation != 0 || len(n.cfg.Known.Instances) > 0 {
 		n.generation, n.disc.gen, n.disc.started = n.cfg.Known.Generation, n.cfg.Known.Generation, true
-		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.take(n.cfg.Known)})
+		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.take(n.cfg.Known), Old: n.journal.size > 0})
 	}
 	for _, id := range n.journal.TakenOut() {
 		n.next = append(n.next, logic.TakeOut{Endpoint: n.dir.number(id)})
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -123,7 +123,7 @@
 	if ev.Form != ListFailed || s.watched {
 		s.listAt = s.now
 	}
-	s.saved = ev.Form == ListCached
+	s.saved = ev.Form == ListCached && ev.Old
 	if s.watched = ev.Form == ListWatched; s.watched {
 		return
 	}
--- a/logic/types.go
+++ b/logic/types.go
@@ -152,6 +152,7 @@
 type Endpoints struct {
 	Form    ListForm
 	Entries []Entry
+	Old     bool // ListCached: changes may have been missed; news of them is on its way
 }
 
 // Call is a new message, or one that this sender had before a restart.
