--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -584,9 +584,13 @@
 	if !haveTime || !haveDest {
 		return m, errors.New("d and dest must be given")
 	}
-	if _, ok := c.cfg.Classes[m.Class]; !ok {
+	class, ok := c.cfg.Classes[m.Class]
+	if !ok {
 		return m, errors.New("unknown class")
 	}
+	if m.Order != "" && !c.cfg.Deploy.Settings.Classes[class].KeepOrder {
+		return m, errors.New("a key goes only with classes that keep their order")
+	}
 	if _, ok := c.cfg.Tenants[m.Tenant]; !ok && m.Tenant != "" {
 		return m, errors.New("unknown tenant")
 	}
--- a/logic/settings.go
+++ b/logic/settings.go
@@ -21,6 +21,8 @@
 	// others their calls.
 	within(&said, "Senders", &set.Senders, 1, math.MaxInt, manySenders)
 	within(&said, "Senders", &set.Senders, 1, mostSenders, mostSenders)
+	within(&said, "Zones", &set.Zones, 0, 1<<16, 1)
+	within(&said, "Zone", &set.Zone, 0, max(set.Zones, 1)-1, 0)
 	within(&said, "Slots", &set.Slots, 1, 1<<16, 1)
 	within(&said, "MaxOpen", &set.MaxOpen, 0, 1<<20, 0)
 	within(&said, "MaxTries", &set.MaxTries, 1, 6, 6)
@@ -36,6 +38,14 @@
 	within(&said, "ColdFrom", &set.ColdFrom, 1e-3, 1, 0.2)
 	within(&said, "WarmAfter", &set.WarmAfter, 1, mostSpan, 14*Second)
 	within(&said, "KeyQuiet", &set.KeyQuiet, 0, mostSpan, 0)
+	for i := range set.Classes { // a message tells its own time; what may not be repeated is not
+		c, name := &set.Classes[i], fmt.Sprintf("Classes[%d].", i)
+		within(&said, name+"Deadline", &c.Deadline, 1, mostSpan, 20*Second)
+		within(&said, name+"Aim", &c.Aim, 0, mostSpan, min(2*Second, c.Deadline))
+		within(&said, name+"Window", &c.Window, 0, mostSpan, 0)
+		within(&said, name+"Worth", &c.Worth, 0, 1e6, 1)
+		within(&said, name+"LateWorth", &c.LateWorth, 0, 1e6, 0)
+	}
 	for i := range set.Tenants {
 		within(&said, fmt.Sprintf("Tenants[%d]", i), &set.Tenants[i].QuotaRPS, 0, 1e9, 0)
 	}
