Forget endpoints, destinations and order keys that are of no more use

Each table of the module is now looked through once it has doubled, from 256 on: what is gone, unused for two minutes and has no call out is dropped. The directory drops names that were not listed for ten minutes, unless a call or an operator's word uses them, and gives no number twice.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -35,6 +35,7 @@
 	accepted   = 2200 * time.Millisecond // a call that is out for longer was not turned away: it waits for news
 	listAge    = 5800 * time.Millisecond // of an answer, when what changed since counts as told; a bit less than 6 s
 	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing
+	goneKept   = 10 * time.Minute        // what is not listed keeps its number for so long
 	maxList    = 4 << 20
 )
 
@@ -72,6 +73,8 @@
 	kinds []logic.Kind
 	ids   map[string]logic.EndpointID
 	eps   map[logic.EndpointID]target
+	last  logic.EndpointID
+	gone  map[string]time.Time // since when a name is not listed
 }
 
 // target is where an endpoint can be reached.
@@ -84,22 +87,32 @@
 
 func newDirectory(cfg *Config) *directory {
 	return &directory{zones: cfg.Deploy.Zones, kinds: cfg.Deploy.Settings.Kinds,
-		ids: map[string]logic.EndpointID{}, eps: map[logic.EndpointID]target{}}
+		ids: map[string]logic.EndpointID{}, eps: map[logic.EndpointID]target{}, gone: map[string]time.Time{}}
 }
 
-// take turns a list into the module's entries. An endpoint keeps its number for
-// the life of the process, whatever its address.
+// take turns a list into the module's entries. An endpoint keeps its number while it is listed and for some time after,
+// whatever its address.
 func (d *directory) take(l List) []logic.Entry {
+	now := time.Now()
+	if l.Reset {
+		for name := range d.ids {
+			if _, gone := d.gone[name]; !gone {
+				d.gone[name] = now
+			}
+		}
+	}
 	rows := make([]logic.Entry, 0, len(l.Instances))
 	for _, in := range l.Instances {
 		id := d.number(in.ID)
 		row := logic.Entry{Endpoint: id, Zone: slices.Index(d.zones, in.Zone), Dest: in.Dest, Nominal: in.Weight,
 			Kind: slices.IndexFunc(d.kinds, func(k logic.Kind) bool { return k.Name == in.Kind })}
+		delete(d.gone, in.ID)
 		switch in.Lifecycle {
 		case "up":
 			row.State = logic.Ready
 		case "removed":
 			row.State = logic.Gone
+			d.gone[in.ID] = now
 		default: // a state that is not known is no invitation to send
 			row.State = logic.Draining
 		}
@@ -115,12 +128,32 @@
 func (d *directory) number(name string) logic.EndpointID {
 	id, ok := d.ids[name]
 	if !ok {
-		id = logic.EndpointID(len(d.ids) + 1)
+		d.last++
+		id = d.last
 		d.ids[name] = id
 	}
 	return id
 }
 
+// adopt takes the numbers of another process.
+func (d *directory) adopt(ids map[string]logic.EndpointID) {
+	d.ids = ids
+	for _, id := range ids {
+		d.last = max(d.last, id)
+	}
+}
+
+// forget drops what has not been listed for long, unless it is still in use.
+func (d *directory) forget(now time.Time, used func(name string, id logic.EndpointID) bool) {
+	for name, since := range d.gone {
+		if id := d.ids[name]; now.Sub(since) > goneKept && !used(name, id) {
+			delete(d.gone, name)
+			delete(d.ids, name)
+			delete(d.eps, id)
+		}
+	}
+}
+
 // discovery asks for the list. A watch runs from listen until a call fails.
 type discovery struct {
 	client  *http.Client
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -83,6 +83,31 @@
 	}
 }
 
+// On a long day endpoints come and go: what is gone for long is forgotten, but for what is in use, and no number is
+// given twice.
+func TestDirectoryForgetsWhatIsGone(t *testing.T) {
+	d := newDirectory(&Config{})
+	d.take(List{Reset: true, Instances: []Instance{{ID: "a", HostPort: "h:1", Lifecycle: "up"}, {ID: "b", HostPort: "h:2", Lifecycle: "up"},
+		{ID: "c", HostPort: "h:3", Lifecycle: "up"}, {ID: "d", HostPort: "h:4", Lifecycle: "up"}}})
+	d.take(List{Instances: []Instance{{ID: "a", Lifecycle: "removed"}, {ID: "b", Lifecycle: "removed"}}})
+	d.take(List{Reset: true, Instances: []Instance{{ID: "d", HostPort: "h:4", Lifecycle: "up"}}})
+	used := func(name string, _ logic.EndpointID) bool { return name == "b" }
+	if d.forget(time.Now(), used); len(d.ids) != 4 {
+		t.Errorf("forgotten at once: %v", d.ids)
+	}
+	d.forget(time.Now().Add(goneKept+time.Second), used)
+	if len(d.ids) != 2 || len(d.eps) != 2 || d.ids["b"] != 2 || d.ids["d"] != 4 || len(d.gone) != 1 {
+		t.Errorf("kept %v, %v, gone %v", d.ids, d.eps, d.gone)
+	}
+	if id := d.number("a"); id != 5 {
+		t.Errorf("number %d is given again", id)
+	}
+	heir := newDirectory(&Config{})
+	if heir.adopt(d.ids); heir.number("e") != 6 {
+		t.Errorf("the heir's numbers: %v", heir.ids)
+	}
+}
+
 // A sender that pauses asks the new address at once when discovery moves: what it has to tell counts as told 4 s after
 // the signal, and a pause may last longer.
 func TestMoveEndsAPause(t *testing.T) {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -578,9 +578,20 @@
 	}
 }
 
-// forget drops ids that nobody can hand in any more.
+// forget drops ids that nobody can hand in any more, and endpoints that are gone.
 func (n *Node) forget() {
 	now := time.Now()
+	n.dir.forget(now, func(name string, id logic.EndpointID) bool {
+		if n.journal.out[name] {
+			return true
+		}
+		for _, h := range n.held {
+			if h.call != nil && h.call.ep == id {
+				return true
+			}
+		}
+		return false
+	})
 	for id, t := range n.recent {
 		if now.After(t) {
 			delete(n.recent, id)
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -67,19 +67,20 @@
 	manySenders = 16           // ours: more than this, one idle connection each, may fill an endpoint
 	errorRest   = 100_000      // ours: pause of a message after an error, doubled with each try
 
-	quotaHalf = 5 * Second // ours: half-life of a tenant's rate
-	lossAhead = Second     // ours: loss of worth within this sets who goes first
-	holdHalf  = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
-	holdFull  = 0.9        // ours: share of the hold above which the least worthy are refused
-	staleMost = 4 * Second // ours: nothing is sent on an old list for so long
-	savedMost = 300_000    // ours: nor on a saved one: the first answer comes at once if discovery has time
-	askGap    = 50_000     // ours: first pause before the list is asked for again; what changes ...
-	askMost   = Second / 2 // ours: ... meanwhile counts as told, so the longest is under a drain's grace
-	askEach   = 25_000     // ours: the first pause for each of many senders, whose calls add up
-	askApart  = 4 * Second // ours: their longest: what changes counts as told after 6 s
-	logMost   = 200        // ours: log lines in a life
-	never     = Micros(math.MaxInt64)
-	longAgo   = Micros(math.MinInt64 / 2)
+	quotaHalf  = 5 * Second // ours: half-life of a tenant's rate
+	lossAhead  = Second     // ours: loss of worth within this sets who goes first
+	holdHalf   = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
+	holdFull   = 0.9        // ours: share of the hold above which the least worthy are refused
+	staleMost  = 4 * Second // ours: nothing is sent on an old list for so long
+	savedMost  = 300_000    // ours: nor on a saved one: the first answer comes at once if discovery has time
+	askGap     = 50_000     // ours: first pause before the list is asked for again; what changes ...
+	askMost    = Second / 2 // ours: ... meanwhile counts as told, so the longest is under a drain's grace
+	askEach    = 25_000     // ours: the first pause for each of many senders, whose calls add up
+	askApart   = 4 * Second // ours: their longest: what changes counts as told after 6 s
+	logMost    = 200        // ours: log lines in a life
+	tableLeast = 256        // ours: entries that a table may hold before any is dropped
+	never      = Micros(math.MaxInt64)
+	longAgo    = Micros(math.MinInt64 / 2)
 )
 
 // New makes a Sender. An error names the setting that makes no sense.
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -1,6 +1,7 @@
 package logic
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -700,6 +701,31 @@
 	}
 }
 
+// A long day brings endpoints that come and go, messages for destinations that nobody lists and ever new order keys:
+// what is no longer of use is dropped, so the tables stay in proportion to what is listed and held.
+func TestTablesStayBounded(t *testing.T) {
+	set := base()
+	set.Classes[0].KeepOrder = true
+	r := newRig(t, set)
+	r.step(0, list(1))
+	at := 0.0
+	for i := range 20 * tableLeast {
+		at += 1
+		c := Call{ID: fmt.Sprint("x", i), Left: 2 * Second, Key: fmt.Sprint("k", i), Dest: int64(1000 + i), Tenant: -1}
+		id := EndpointID(1000 + i)
+		r.step(at, c, Endpoints{Form: ListDelta, Entries: []Entry{{Endpoint: id, Dest: 9, State: Ready}}})
+		r.step(at+0.5, Endpoints{Form: ListDelta, Entries: []Entry{{Endpoint: id, State: Gone}}})
+	}
+	r.step(at+10, Due{})
+	most := 2 * (tableLeast + int(idleAge/Second))
+	if s := r.s; len(s.eps) > most || len(s.dests) > most || len(s.order) != len(s.dests) || len(s.keys) > most {
+		t.Errorf("%d endpoints, %d destinations, %d keys", len(s.eps), len(s.dests), len(s.keys))
+	}
+	if r.s.dests[9] == nil || len(r.s.dests[9].eps) != 1 {
+		t.Error("what is listed was forgotten")
+	}
+}
+
 // Found on the fleet's days: a clump met the free first sends of eighty senders, and since refused calls use the limit
 // up, next to nothing was taken for seconds. Their calls must add up to the limit, and with all of it left none waits
 // past its aim.
--- a/logic/state.go
+++ b/logic/state.go
@@ -58,6 +58,7 @@
 	inflight          int
 	slow              float64 // smoothed latency, microseconds
 	lastSent          Micros
+	goneAt            Micros
 	warm              Micros // an idle connection lasts until then
 	open              *call
 }
@@ -142,6 +143,7 @@
 	byClass   []hist
 	usage     []usage // by tenant
 	keys      map[string]*keyLine
+	most      [3]int // eps, dests and keys when they are next looked through
 	wake      Micros // when something is next to be done
 	timer     Micros // when the last timer set goes off; 0 if none is out
 	askAt     Micros // when to ask for the list; never if asked
@@ -175,7 +177,7 @@
 func (s *Sender) at(t Micros) { s.wake = min(s.wake, t) }
 
 func (s *Sender) unlist(e *endpoint) {
-	e.state = Gone
+	e.state, e.goneAt = Gone, s.now
 	e.dest.eps = slices.DeleteFunc(e.dest.eps, func(x *endpoint) bool { return x == e })
 }
 
@@ -279,6 +281,42 @@
 	return true
 }
 
+// prune keeps what the tables hold in proportion to what is listed and held: endpoints that are gone,
+// destinations without either and order keys at rest are forgotten, each table once it has doubled since.
+func (s *Sender) prune() {
+	old := s.now - idleAge
+	if len(s.eps) > s.most[0] {
+		for id, e := range s.eps {
+			if e.state == Gone && e.inflight == 0 && max(e.lastSent, e.goneAt) < old {
+				delete(s.eps, id)
+			}
+		}
+		s.most[0] = max(tableLeast, 2*len(s.eps))
+	}
+	if len(s.dests) > s.most[1] {
+		holds := map[*dest]bool{}
+		for _, m := range s.msgs {
+			holds[m.dest] = true
+		}
+		s.order = slices.DeleteFunc(s.order, func(d *dest) bool {
+			idle := len(d.eps) == 0 && !holds[d] && d.lane.inflight == 0 && d.used < old
+			if idle {
+				delete(s.dests, d.id)
+			}
+			return idle
+		})
+		s.most[1] = max(tableLeast, 2*len(s.dests))
+	}
+	if len(s.keys) > s.most[2] {
+		for key, l := range s.keys {
+			if len(l.q) == 0 && l.quiet < s.now {
+				delete(s.keys, key)
+			}
+		}
+		s.most[2] = max(tableLeast, 2*len(s.keys))
+	}
+}
+
 // joins says whether a send to e now would travel in a call that this step opens anyway.
 func (s *Sender) joins(e *endpoint) bool {
 	return e.open != nil && e.open.step == s.step && e.open.n < s.kind(e.dest).Batch
@@ -338,6 +376,7 @@
 		s.do(Refuse{ID: c.ID})
 		return
 	}
+	s.prune()
 	class := &s.set.Classes[c.Class]
 	s.seq++
 	m := &msg{id: c.ID, class: class, ci: c.Class, dest: s.dest(c.Dest), seq: s.seq,
