Try what a restart finds untried before its time is up, past our own pace if need be

Now such a message goes first and past the pace in the last three tenths of its class's time, each at a time of its own; before a list grows too old to send on; after half of its time if the first list is late; and is not given up for room. On a stop what would be over before the next start goes at once, and what comes then and cannot go is turned away at the door. The handover takes all that along, and whether the list is still the saved one, which it lost.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -389,7 +389,7 @@
 		n.held[e.ID] = &held{msg: &e.Message, tries: e.Tries}
 		n.open++
 		c := n.callOf(&e.Message, now)
-		c.Past = logic.Past{Tries: e.Tries, MayRun: e.MayRun || e.Open}
+		c.Past = logic.Past{Kept: true, Tries: e.Tries, MayRun: e.MayRun || e.Open}
 		if c.Past.MayRun {
 			c.Past.Age, c.Past.Zone = logic.Micros(max(now-e.FirstMay, 0)), e.FirstZone
 		}
--- a/logic/handover.go
+++ b/logic/handover.go
@@ -18,6 +18,7 @@
 	AskGap    Micros
 	ListAt    Micros
 	Watched   bool
+	Old       bool // the list is as saved before the start
 	Banned    []EndpointID
 	ByClass   []savedHist
 	Usage     []savedUsage
@@ -78,7 +79,8 @@
 	Share                           float64
 	Dest                            int64
 	First, Deadline, FirstMay, Rest Micros
-	MayRun, Over, Flows             bool
+	MayRun, Over, Flows, Untried    bool
+	Half, Chance                    Micros
 	MayZone                         int
 	Last                            EndpointID
 	HasLast                         bool
@@ -133,7 +135,7 @@
 // Save returns the state. The Sender must not be used afterwards, unless nobody goes on in its place.
 func (s *Sender) Save() Saved {
 	out := Saved{Now: s.now, Seq: s.seq, Logs: s.logs, Stray: s.stray, MeanWorth: s.meanWorth, Turned: s.turned, Room: s.room,
-		AskAt: s.askAt, AskGap: s.askGap, ListAt: s.listAt, Watched: s.watched, Banned: slices.Sorted(maps.Keys(s.banned)), Keys: map[string]savedLine{}}
+		AskAt: s.askAt, AskGap: s.askGap, ListAt: s.listAt, Watched: s.watched, Old: s.saved, Banned: slices.Sorted(maps.Keys(s.banned)), Keys: map[string]savedLine{}}
 	for i := range s.byClass {
 		out.ByClass = append(out.ByClass, s.byClass[i].save())
 	}
@@ -174,7 +176,7 @@
 		m := s.msgs[id]
 		x := savedMsg{ID: m.id, Class: m.ci, Seq: m.seq, Tries: m.tries, Cuts: m.cuts, Share: m.share, Dest: m.dest.id,
 			First: m.first, Deadline: m.deadline, FirstMay: m.firstMay, Rest: m.rest, MayRun: m.mayRun, Over: m.over,
-			Flows: m.flows, MayZone: m.mayZone}
+			Flows: m.flows, MayZone: m.mayZone, Untried: m.untried, Half: m.half, Chance: m.chance}
 		if m.last != nil {
 			x.Last, x.HasLast = m.last.id, true
 		}
@@ -204,7 +206,7 @@
 		return nil, err
 	}
 	s.now, s.seq, s.logs, s.stray, s.meanWorth = x.Now, x.Seq, x.Logs, x.Stray, x.MeanWorth
-	s.askAt, s.askGap, s.listAt, s.watched = x.AskAt, x.AskGap, x.ListAt, x.Watched
+	s.askAt, s.askGap, s.listAt, s.watched, s.saved = x.AskAt, x.AskGap, x.ListAt, x.Watched, x.Old
 	maps.Copy(s.turned, x.Turned)
 	maps.Copy(s.room, x.Room)
 	for _, id := range x.Banned {
@@ -251,7 +253,8 @@
 		}
 		m := &msg{id: sm.ID, class: &s.set.Classes[sm.Class], ci: sm.Class, share: sm.Share, dest: s.dest(sm.Dest),
 			seq: sm.Seq, first: sm.First, deadline: sm.Deadline, tries: sm.Tries, cuts: sm.Cuts, mayRun: sm.MayRun,
-			firstMay: sm.FirstMay, mayZone: sm.MayZone, rest: sm.Rest, over: sm.Over, flows: sm.Flows}
+			firstMay: sm.FirstMay, mayZone: sm.MayZone, rest: sm.Rest, over: sm.Over, flows: sm.Flows, untried: sm.Untried,
+			half: sm.Half, chance: sm.Chance}
 		if sm.HasLast {
 			m.last = s.eps[sm.Last]
 		}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -79,6 +79,8 @@
 	askApart   = 4 * Second // ours: their longest: what changes counts as told after 6 s
 	logMost    = 200        // ours: log lines in a life
 	tableLeast = 256        // ours: entries that a table may hold before any is dropped
+	lastPart   = 0.3        // ours: part of a message's time in which one found untried goes past the pace
+	awayTime   = 1500_000   // ours: from a stop until the next start can send
 	never      = Micros(math.MaxInt64)
 	longAgo    = Micros(math.MinInt64 / 2)
 )
@@ -114,6 +116,7 @@
 	s.endHopeless()
 	s.cutLong()
 	s.dispatch()
+	s.shut()
 	s.arm()
 	return s.out
 }
@@ -277,12 +280,18 @@
 	var q []*msg
 	for _, m := range s.held {
 		if m.out == nil && !m.over {
-			m.prio = s.rate(m)
+			if m.prio = s.rate(m); s.lastChance(m) {
+				m.prio = math.Inf(1)
+			}
 			m.dest.rank = 0
 			q = append(q, m)
 		}
 	}
 	slices.SortStableFunc(q, func(a, b *msg) int { return cmp.Compare(b.prio, a.prio) })
+	least := len(q) - 1
+	for least >= 0 && q[least].untried {
+		least--
+	}
 	for i, m := range q {
 		if s.send(m) {
 			continue
@@ -290,12 +299,13 @@
 		m.dest.rank++
 		// What the pace cannot send in time ends now, if the hold has little room: paces and limits come back.
 		p := s.destPace(m.dest)
-		if p > 0 && m.dest.rank/p > seconds(m.deadline-s.now-s.usual(m)) && s.crowd() > holdHalf {
+		late := p > 0 && m.dest.rank/p > seconds(m.deadline-s.now-s.usual(m))
+		if late && s.crowd() > holdHalf && !m.untried {
 			s.end(m)
 			continue
 		}
 		// A nearly full hold gives up its least worthy rather than turning new messages away unseen.
-		if s.crowd() > holdFull && i >= len(q)-1 && !m.mayRun {
+		if s.crowd() > holdFull && i == least && !m.mayRun {
 			s.end(m)
 		}
 	}
@@ -381,8 +391,8 @@
 		return false, never
 	case s.banned[e.id]: // an operator has taken it out
 		return false, never
-	case s.staleTill() > s.now: // e may drain by now
-		return false, s.staleTill()
+	case s.staleTill(m) > s.now: // e may drain by now
+		return false, s.staleTill(m)
 	case s.now < max(e.lane.until, m.rest): // told wait
 		return false, max(e.lane.until, m.rest)
 	case s.set.MaxTries > 0 && m.tries >= s.set.MaxTries:
@@ -423,18 +433,35 @@
 	if at := s.budget(e); at > s.now {
 		return false, at
 	}
-	if at := s.paced(e.lane); at > s.now {
+	if at := s.paced(e.lane); at > s.now && !s.lastChance(m) {
+		if m.untried {
+			at = min(at, s.chanceAt(m))
+		}
 		return false, at
 	}
 	return true, 0
 }
 
+// lastChance says whether m goes out past the pace: it was taken on before a restart, no call of it was made
+// and it has little of its time left. The pace only shares a limit out; who took a message on owes it a try.
+func (s *Sender) lastChance(m *msg) bool { return m.untried && s.now >= s.chanceAt(m) }
+
+// chanceAt is when that is so. Each message has a time of its own, for many senders may come back at once;
+// what would be over before an old list serves again goes while it still serves.
+func (s *Sender) chanceAt(m *msg) Micros {
+	if old := s.listAt + s.set.ListAge; s.set.ListAge > 0 && !s.watched && m.deadline <= old+staleMost+Second {
+		return min(m.chance, old-Second)
+	}
+	return m.chance
+}
+
 // staleTill is the time until which nothing is sent since the list is old: what changes counts as told some
 // time later, even if nothing came, and so does what changed before a start on a saved list. It ends with the
-// next news, or after a while: discovery may be down long.
-func (s *Sender) staleTill() Micros {
-	if s.saved && s.set.ListAge > 0 && s.now < s.listAt+savedMost {
-		return s.listAt + savedMost
+// next news, or after a while: discovery may be down long. What a restart found with little time left waits
+// for the first answer for half of that only.
+func (s *Sender) staleTill(m *msg) Micros {
+	if saved := s.savedTill(m); s.saved && s.set.ListAge > 0 && s.now < saved {
+		return saved
 	}
 	old := s.listAt + s.set.ListAge
 	if s.set.ListAge <= 0 || s.watched || s.now < old || s.now >= old+staleMost {
@@ -443,6 +470,13 @@
 	return old + staleMost
 }
 
+func (s *Sender) savedTill(m *msg) Micros {
+	if m.untried {
+		return min(s.listAt+savedMost, m.half)
+	}
+	return s.listAt + savedMost
+}
+
 // lasts is the time that an attempt needs before this sender stops. One that is cut off by the stop is resent
 // if its class allows it, but an unsafe one is lost.
 func (s *Sender) lasts(m *msg, e *endpoint) Micros {
@@ -794,6 +828,9 @@
 	if r.Outcome != Full && r.Outcome != RefusedConn && r.Outcome != Moot {
 		m.mayRun = true
 	}
+	if r.Outcome != RefusedConn && r.Outcome != Moot {
+		m.untried = false
+	}
 	if m.line != nil && (r.Outcome == Overdue || r.Outcome == Severed || r.Outcome == Recalled) {
 		m.line.quiet, m.line.by = max(m.line.quiet, s.now+s.set.KeyQuiet), m
 	}
@@ -1017,6 +1054,12 @@
 // resume takes up a message where a restart cut it off: its attempts count, and one without an outcome may
 // have run. What may not be sent again ends at once.
 func (s *Sender) resume(m *msg, p Past) {
+	if p.Kept && !p.MayRun {
+		left := m.deadline - s.now
+		last := min(left, Micros(lastPart*float64(m.class.Deadline)))
+		m.untried, m.half = true, s.now+left/2
+		m.chance = m.deadline - last/3 - Micros(s.rng.Float64()*float64(last)*2/3)
+	}
 	if p.Tries == 0 {
 		return
 	}
@@ -1027,6 +1070,28 @@
 	s.endIfStuck(m)
 }
 
+// closing prepares for a stop: what was not tried and would be over before the next start goes now or never.
+func (s *Sender) closing(left Micros) {
+	s.closeAt = s.now + left
+	for _, m := range s.held {
+		if m.tries == 0 && m.deadline <= s.closeAt+awayTime {
+			m.untried, m.half, m.chance = true, s.now, s.now
+		}
+	}
+}
+
+// shut turns new messages away that cannot go at once and would be over before the next start.
+func (s *Sender) shut() {
+	if s.closeAt == 0 {
+		return
+	}
+	for _, m := range slices.Clone(s.held) {
+		if m.came == s.step && m.tries == 0 && m.deadline <= s.closeAt+awayTime {
+			s.end(m)
+		}
+	}
+}
+
 // endIfStuck ends a message that no further attempt can help.
 func (s *Sender) endIfStuck(m *msg) {
 	c := m.class
--- a/logic/restart_test.go
+++ b/logic/restart_test.go
@@ -109,3 +109,154 @@
 		t.Errorf("called off at %v s", end)
 	}
 }
+
+// kept is a message that a restart found, with so much of its time left.
+func (r *rig) kept(class int, left float64) Call {
+	c := r.call(class)
+	c.Left, c.Past = sec(left), Past{Kept: true}
+	return c
+}
+
+// run steps on to a time, answers each call after 0.2 s with an outcome, and notes which messages were called and
+// when they ended by our word.
+func (r *rig) run(from, to float64, o Outcome, evs ...Event) (called map[string]float64, ended map[string]float64) {
+	called, ended = map[string]float64{}, map[string]float64{}
+	due := map[float64][]Event{}
+	for i := range int((to - from) / 0.01) {
+		at := from + float64(i)*0.01
+		for _, a := range r.step(at, append(evs, due[float64(i)]...)...) {
+			switch a := a.(type) {
+			case CallOut:
+				if _, again := called[a.ID]; !again {
+					called[a.ID] = at
+				}
+				n := r.s.msgs[a.ID].tries - 1
+				due[float64(i+20)] = append(due[float64(i+20)], answer(a.ID, a.Endpoint, n, o))
+			case Refuse:
+				ended[a.ID] = at
+			case Fail:
+				ended[a.ID] = at
+			}
+		}
+		evs = nil
+	}
+	return called, ended
+}
+
+// limited is a destination whose told limit, shared by many senders, lets few of a hold's messages out in their time.
+func limited(hold int) (Settings, Endpoints) {
+	set := base()
+	set.Senders, set.MaxOpen, set.WarmAfter, set.ListAge = 300, hold, 14*Second, 7*Second
+	set.ReportLeft, set.ReportLimit, set.Weights = 0, 1, WeightsNominal
+	eps := list(2)
+	for i := range eps.Entries {
+		eps.Entries[i].Nominal = 10
+	}
+	eps.Form, eps.Old = ListCached, true
+	return set, eps
+}
+
+// What a restart finds taken on and untried is still tried. The pace ended more than half of it without a call: a
+// sender's share of a small limit, and a hold so full that its least worthy were given up.
+func TestKeptIsTriedInTime(t *testing.T) {
+	for _, x := range []struct {
+		name  string
+		hold  int
+		news  Endpoints // what comes after the start; ListWatched stands for a watch that waits
+		class int
+		left  float64
+	}{
+		{"small limit", 200, Endpoints{Form: ListWatched}, 0, 9},
+		{"full hold", 16, Endpoints{Form: ListWatched}, 0, 9},
+		{"unsafe", 200, Endpoints{Form: ListWatched}, 2, 9},
+		{"short time left", 200, Endpoints{Form: ListWatched}, 0, 0.25},
+		{"discovery late, short time left", 200, Endpoints{}, 0, 0.25},
+		{"discovery silent until the list is too old", 200, Endpoints{}, 0, 9.5},
+		{"discovery silent for longer", 200, Endpoints{}, 0, 14},
+	} {
+		set, eps := limited(x.hold)
+		set.Slots = 32
+		r := newRig(t, set)
+		evs := []Event{eps}
+		for range 16 {
+			evs = append(evs, r.kept(x.class, x.left))
+		}
+		if x.news.Form == ListWatched {
+			evs = append(evs, x.news)
+		}
+		called, ended := r.run(100, 100+x.left+1, Completed, evs...)
+		if len(called) != 16 {
+			t.Errorf("%s: %d of 16 tried, %d given up", x.name, len(called), len(ended))
+		}
+		if x.news.Form != ListWatched {
+			for id, at := range called {
+				if stale := set.ListAge; at > 100+seconds(stale) && at < 100+seconds(stale+staleMost) {
+					t.Errorf("%s: %s called %.2f s after the start, on a list that is too old", x.name, id, at-100)
+				}
+			}
+		}
+	}
+}
+
+// Only the pace gives way: a told wait is heeded, and what is out or drains gets nothing, for all that it is a
+// message's last chance.
+func TestKeptHeedsWaits(t *testing.T) {
+	set, eps := limited(200)
+	eps.Old = false
+	r := newRig(t, set)
+	c := r.kept(0, 4)
+	if out := only[CallOut](r.step(100, eps, Endpoints{Form: ListWatched}, c)); len(out) == 1 {
+		told := answer(c.ID, out[0].Endpoint, 0, Full)
+		told.Wait = 2 * Second
+		r.step(100.1, told)
+	} else {
+		r.s.dests[9].lane.until = sec(102.1)
+	}
+	called, _ := r.run(100.2, 103.9, Completed, r.kept(0, 3.5))
+	for id, at := range called {
+		if at < 102.1 {
+			t.Errorf("%s called at %.2f, within the told wait", id, at)
+		}
+	}
+	if len(called) == 0 {
+		t.Error("not tried after the wait")
+	}
+	r = newRig(t, set)
+	for i := range eps.Entries {
+		eps.Entries[i].State = Draining
+	}
+	if called, _ := r.run(100, 109, Completed, eps, r.kept(0, 8)); len(called) != 0 {
+		t.Errorf("sent to an endpoint that drains: %v", called)
+	}
+}
+
+// A stop: what has not been tried and would be over before the next start goes out at once past the pace, and what
+// comes meanwhile and cannot go is turned away at the door, not taken on to be given up untried. What will outlast the
+// restart is kept for it.
+func TestClosingTriesWhatARestartWouldFindOver(t *testing.T) {
+	set, eps := limited(200)
+	r := newRig(t, set)
+	eps.Form, eps.Old = ListFull, false
+	var evs []Event
+	for _, left := range []float64{3, 4, 4, 9, 9} {
+		c := r.call(0)
+		c.Left = sec(left)
+		evs = append(evs, c)
+	}
+	before := only[CallOut](r.step(1, append([]Event{eps}, evs...)...))
+	sent := map[string]bool{}
+	for _, a := range append(before, only[CallOut](r.step(1.01, Closing{Left: 3200_000}))...) {
+		sent[a.ID] = true
+	}
+	for i, ev := range evs {
+		if c := ev.(Call); i < 3 && !sent[c.ID] {
+			t.Errorf("%s, with %.0f s left, is kept for a restart that finds it over", c.ID, seconds(c.Left))
+		}
+	}
+	short, long := r.call(0), r.call(0)
+	short.Left = sec(3)
+	acts := r.step(1.02, short, long)
+	if no := only[Refuse](acts); len(no) != 1 || no[0].ID != short.ID || len(only[Fail](acts)) != 0 {
+		t.Errorf("at the door after the stop was told: %v", acts)
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -98,6 +98,10 @@
 	line     *keyLine
 	over     bool
 	flows    bool
+	came     int    // step
+	untried  bool   // a restart found it, or would find it over, and no call of it has been made
+	half     Micros // then: how long it waits for the first list at most ...
+	chance   Micros // ... and for the pace
 	prio     float64
 }
 
@@ -379,7 +383,7 @@
 	s.prune()
 	class := &s.set.Classes[c.Class]
 	s.seq++
-	m := &msg{id: c.ID, class: class, ci: c.Class, dest: s.dest(c.Dest), seq: s.seq,
+	m := &msg{id: c.ID, class: class, ci: c.Class, dest: s.dest(c.Dest), seq: s.seq, came: s.step,
 		deadline: s.now + c.Left, first: min(s.now, s.now+c.Left-class.Deadline)}
 	s.ageOut(m.dest)
 	m.dest.came++
@@ -472,7 +476,7 @@
 	case PutBack:
 		s.unban(ev.Endpoint)
 	case Closing:
-		s.closeAt = s.now + ev.Left
+		s.closing(ev.Left)
 	case Due:
 		if s.now >= s.timer {
 			s.timer = 0
--- a/logic/types.go
+++ b/logic/types.go
@@ -169,6 +169,7 @@
 // Past is what became of a message before a restart; the zero value is that of a
 // new message.
 type Past struct {
+	Kept   bool   // a restart found it: it was taken on before
 	Tries  int    // attempts made
 	MayRun bool   // one of them may have run
 	Age    Micros // time since the first that may have run was sent
