Send a notice again soon if its connection falls silent

Read line by line: notices.run() waits noticeTime, 1 s, for each answer, and all later notices wait behind it. The end of a message is owed 0.3 s after its time, and the module ends it 10 ms before that: one silent connection to the platform and the message is lost. Ruled out: the pause after a failure (50 ms), the queue's order, a move by SIGHUP (the next try goes to the new address).

The first answer is waited for 150 ms, later ones twice as long each, up to 1 s as before.

--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -15,7 +15,8 @@
 
 const (
 	noticeBatch = 256                    // notices in one request at most
-	noticeTime  = time.Second            // for the platform's answer, which comes at once
+	noticeFirst = 150 * time.Millisecond // for the platform's answer, which comes at once; a silent connection shows soon ...
+	noticeTime  = time.Second            // ... but a platform that is slow is given more, up to this
 	noticePause = 50 * time.Millisecond  // first pause after a request that failed
 	noticeMost  = 400 * time.Millisecond // and the longest: an end is owed soon after a message's time is up
 )
@@ -64,7 +65,7 @@
 
 // run sends what is queued, oldest first, until ctx is over. Only run takes notices off the queue.
 func (n *notices) run(ctx context.Context) {
-	pause := noticePause
+	pause, limit := noticePause, noticeFirst
 	for {
 		url, batch := n.next()
 		if len(batch) == 0 {
@@ -75,7 +76,7 @@
 			}
 			continue
 		}
-		if err := n.post(ctx, url, batch); err != nil {
+		if err := n.post(ctx, url, batch, limit); err != nil {
 			if ctx.Err() != nil {
 				return
 			}
@@ -85,10 +86,10 @@
 				return
 			case <-time.After(pause):
 			}
-			pause = min(2*pause, noticeMost)
+			pause, limit = min(2*pause, noticeMost), min(2*limit, noticeTime)
 			continue
 		}
-		pause = noticePause
+		pause, limit = noticePause, noticeFirst
 		ids := make([]string, len(batch))
 		for i, x := range batch {
 			ids[i] = x.ID
@@ -123,7 +124,9 @@
 	}
 }
 
-func (n *notices) post(ctx context.Context, url string, batch []Notice) error {
+func (n *notices) post(ctx context.Context, url string, batch []Notice, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
 	var body bytes.Buffer
 	enc := json.NewEncoder(&body) // one object a line
 	for _, x := range batch {
