End a shutdown's last reads before the process ends, and hear first requests out

After SIGTERM clients send on every connection that stays open. Two crossings in clients.go: - handle() went on for as long as the next request was there already. A client that always sends ahead was served up to the process's end at 3.4 s, which then cut off a request that was read and had no answer: lost by the protocol. Nothing is read any more from 0.4 s before that end on, but for what came along with the last request. - shutdown() closed connections on which nothing had come yet, also those opened a moment before: their first request fails with them, which is priced. They have 0.5 s from their start. Ruled out: half-read requests (read to their end by their own time, at most 3.0 s), the listener's queue (open for 0.5 s, connections come for 0.4 s at most), answers of the loop (given in the step in which the message came).

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -23,6 +23,7 @@
 	idleClient   = 30 * time.Second       // a connection without a request is closed after this ...
 	idleLeast    = 2 * time.Second        // ... and from this on when the table is full
 	lastRequest  = 200 * time.Millisecond // at a shutdown, for a request that has begun to come
+	firstRequest = 500 * time.Millisecond // and for the first one on a connection, from its start
 	clientPart   = 0.25                   // of the memory is for requests that clients' connections hold
 	maxIDLen     = 128
 	stallTime    = 300 * time.Millisecond // a peer that sends nothing for so long, its first request not whole, stands still
@@ -49,6 +50,7 @@
 	evicted int // connections closed to make room, since the last report
 	late    int // connections closed for want of a whole request in time, since the last report
 	closing bool
+	until   time.Time // when closing: requests are read until then, so that all that were read have their answers
 	wg      sync.WaitGroup
 
 	// While a handover is being made:
@@ -366,12 +368,32 @@
 		return false
 	}
 	if x.busy = busy; (c.closing || c.frozen) && !busy {
-		by = time.Now() // wakes the reader, which looks for a request that has begun to come
+		by = c.wakeAt(x)
 	}
 	conn.SetReadDeadline(by)
 	return true
 }
 
+// done says whether a shutdown is so far on that no further request is read: one that is not read yet crosses the
+// close and is sent again, one that is read would have no answer at the end of the process. What has come along with
+// the last one is still served, for a moment.
+func (c *clients) done(buffered int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	late := time.Since(c.until)
+	return c.closing && !c.until.IsZero() && (late >= 0 && buffered == 0 || late >= lastRequest)
+}
+
+// wakeAt is when a reader that waits for a request is woken at a shutdown or handover, to look for one that has begun
+// to come: at once, but a client that has only just connected is given a moment, since its first request fails with
+// the connection. The caller holds c.mu.
+func (c *clients) wakeAt(x *standing) time.Time {
+	if soon := x.since.Add(firstRequest); c.closing && !x.proven && soon.After(time.Now()) {
+		return soon
+	}
+	return time.Now()
+}
+
 // served notes that a request on conn has its answer.
 func (c *clients) served(conn net.Conn) {
 	c.mu.Lock()
@@ -415,11 +437,14 @@
 func (c *clients) shutdown(ctx context.Context) {
 	c.mu.Lock()
 	c.closing = true
+	if end, ok := ctx.Deadline(); ok {
+		c.until = end.Add(-2 * lastRequest)
+	}
 	for conn, x := range c.conns {
 		if x.busy { // it ends by its own time: the last byte may be written already
 			continue
 		}
-		conn.SetReadDeadline(time.Now()) // wakes the reader, which looks for a request that has begun to come
+		conn.SetReadDeadline(c.wakeAt(x))
 	}
 	c.mu.Unlock()
 	done := make(chan struct{})
@@ -458,7 +483,7 @@
 		idle = time.Now().Add(idleClient)
 	}
 	for {
-		if !c.await(conn, false, idle) {
+		if c.done(r.Buffered()) || !c.await(conn, false, idle) {
 			return false
 		}
 		if err := c.waitRequest(conn, r); err != nil {
