Keep the last good list at nonsense, ask again at once, and follow a move between two watches

Read line by line: discovery.go and where its events meet the module's pauses. - watch() took every list that parsed: an older one, `{}`, changes where a whole list was asked for. The version went back with it, so the next watch was told old news anew. Now what is older, cut short or no list at all leaves the last good list in force, with a line; five older answers in a row are a discovery whose count has begun anew. - An answer that is cut short ended the watch like a discovery that has no time: a sender of many then left it alone for 2 to 6 s (askSpan()), while what the agent has counts as told. It asks again after 0.1 s, four times. - SIGHUP while no watch was out: move() wakes the watch's own pauses, not the module's after a failed call, up to 6 s long; what the new address has to tell counts as told after 4 s. The module hears of the move (Moved), also when the failure comes to the loop after the word of it. - take() gave entries with no name, or new ones with no address that can be called, to the module as endpoints.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -34,13 +35,17 @@
 	promptHold = time.Millisecond        // hold of the call that asks for such an answer
 	accepted   = 2200 * time.Millisecond // a call that is out for longer was not turned away: it waits for news
 	listAge    = 5800 * time.Millisecond // of an answer, when what changed since counts as told; a bit less than 6 s
-	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing
+	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing, or with nonsense
+	badMost    = 5                       // answers with nonsense, one after the other, until discovery is left alone for a while
 	goneKept   = 10 * time.Minute        // what is not listed keeps its number for so long
 	maxList    = 4 << 20
 )
 
-// errTurnedAway says that discovery has no time for a call.
-var errTurnedAway = errors.New("discovery answered 503")
+var (
+	errTurnedAway = errors.New("discovery answered 503")                       // it has no time for a call
+	errUnreadable = errors.New("the answer is no list")                        // cut short, say
+	errOlder      = errors.New("the list is older than the one that is known") // a late answer, say
+)
 
 // List is discovery's answer.
 type List struct {
@@ -75,6 +80,8 @@
 	eps   map[logic.EndpointID]target
 	last  logic.EndpointID
 	gone  map[string]time.Time // since when a name is not listed
+
+	unusable int // entries of lists that made no sense
 }
 
 // target is where an endpoint can be reached.
@@ -103,6 +110,10 @@
 	}
 	rows := make([]logic.Entry, 0, len(l.Instances))
 	for _, in := range l.Instances {
+		if !d.usable(in) {
+			d.unusable++
+			continue
+		}
 		id := d.number(in.ID)
 		row := logic.Entry{Endpoint: id, Zone: slices.Index(d.zones, in.Zone), Dest: in.Dest, Nominal: in.Weight,
 			Kind: slices.IndexFunc(d.kinds, func(k logic.Kind) bool { return k.Name == in.Kind })}
@@ -116,7 +127,7 @@
 		default: // a state that is not known is no invitation to send
 			row.State = logic.Draining
 		}
-		if in.HostPort != "" {
+		if reachable(in.HostPort) {
 			d.eps[id] = target{in.HostPort, row.Zone, row.Dest, row.Kind}
 		}
 		rows = append(rows, row)
@@ -124,6 +135,18 @@
 	return rows
 }
 
+// usable says whether an entry makes sense: it has a name, and what is new has an address too.
+func (d *directory) usable(in Instance) bool {
+	return in.ID != "" && (reachable(in.HostPort) || d.eps[d.ids[in.ID]].addr != "" || in.Lifecycle == "removed")
+}
+
+// reachable says whether an address can be called.
+func reachable(hostPort string) bool {
+	host, port, err := net.SplitHostPort(hostPort)
+	n, bad := strconv.ParseUint(port, 10, 16)
+	return err == nil && bad == nil && host != "" && n > 0
+}
+
 // number is the module's number for a name, a new one if the name is new.
 func (d *directory) number(name string) logic.EndpointID {
 	id, ok := d.ids[name]
@@ -200,6 +223,7 @@
 	if d.first > 0 && !d.begun && !d.back {
 		d.wait(ctx, time.Duration(d.rng.Int64N(int64(d.first))))
 	}
+	bad := 0 // answers in a row that made no sense
 	for ctx.Err() == nil {
 		first := d.apart > 0 && !d.begun
 		d.begun = true
@@ -221,14 +245,27 @@
 		if moved := d.end(); ctx.Err() != nil {
 			return
 		} else if moved {
+			bad = 0
 			continue // what the old address said last, the new one says too
 		}
+		if err == nil {
+			err = d.sense(list)
+		}
+		if bad++; bad < badMost && (errors.Is(err, errUnreadable) || errors.Is(err, errOlder)) {
+			d.log.Warn("discovery, the list stays as it is", "err", err, "generation", list.Generation, "known", d.gen)
+			d.wait(ctx, emptyPause) // it has time, and what it has to tell counts as told
+			continue
+		}
+		if errors.Is(err, errOlder) {
+			d.started = false // not a late answer: its count has begun anew
+		}
 		if err != nil {
 			d.log.Warn("discovery", "err", err)
 			d.busy = d.busy || errors.Is(err, errTurnedAway)
 			d.events <- listEvent{err: err}
 			return
 		}
+		bad = 0
 		d.gen, d.started = list.Generation, true
 		pause, took := time.Duration(0), time.Since(at)
 		if direct || len(list.Instances) > 0 && took < prompt {
@@ -245,6 +282,18 @@
 	}
 }
 
+// sense says what is wrong with a list, if anything is: changes where there is nothing to change yet, or a list that
+// is older than what is known.
+func (d *discovery) sense(list List) error {
+	switch {
+	case !d.started && !list.Reset:
+		return errUnreadable
+	case d.started && list.Generation < d.gen:
+		return errOlder
+	}
+	return nil
+}
+
 // await makes a call, and tells the loop if it is one that waits for news.
 func (d *discovery) await(ctx context.Context, url string, limit time.Duration) (List, error) {
 	type answer struct {
@@ -301,6 +350,13 @@
 	return d.moved
 }
 
+// isMoved says whether discovery has moved since the last call began.
+func (d *discovery) isMoved() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.moved
+}
+
 // address is where calls go now.
 func (d *discovery) address() string {
 	d.mu.Lock()
@@ -343,7 +399,7 @@
 		return list, fmt.Errorf("discovery answered %s", resp.Status)
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&list); err != nil {
-		return list, fmt.Errorf("read list: %w", err)
+		return list, fmt.Errorf("%w: %w", errUnreadable, err)
 	}
 	io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
 	return list, nil
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -69,6 +69,7 @@
 	events  chan any
 	orders  chan order
 	heirs   chan heir
+	moves   chan struct{} // holds one token when discovery has moved
 	sockets int // descriptors that this process and another version of it may hold together
 	lock    *os.File
 	ln      net.Listener
@@ -104,7 +105,7 @@
 	if sockets <= 0 {
 		sockets = 1024
 	}
-	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, heirs: make(chan heir), dir: newDirectory(cfg),
+	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, heirs: make(chan heir), moves: make(chan struct{}, 1), dir: newDirectory(cfg),
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
 		events: make(chan any, eventRoom), orders: make(chan order), ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
 	n.disc = newDiscovery(cfg.Discovery, set.Senders, span(set.DrainGrace), cfg.Seed, log, n.events)
@@ -140,6 +141,10 @@
 	n.log.Info("discovery has moved", "addr", addr)
 	n.disc.move(addr)
 	n.notices.move(addr)
+	select {
+	case n.moves <- struct{}{}:
+	default: // a token is there already
+	}
 }
 
 func span(t logic.Micros) time.Duration { return time.Duration(t) * time.Microsecond }
@@ -327,6 +332,10 @@
 			continue
 		case ev := <-n.events:
 			n.take(ev)
+		case <-n.moves:
+			if !n.watching { // a watch that is out goes to the new address by itself
+				n.next = append(n.next, logic.Moved{})
+			}
 		case <-sweep.C:
 			n.caller.sweep()
 			n.forget()
@@ -480,6 +489,9 @@
 	if ev.err != nil {
 		n.watching = false
 		n.next = append(n.next, logic.Endpoints{Form: logic.ListFailed})
+		if n.disc.isMoved() { // meanwhile, so the failure was not the new address's
+			n.next = append(n.next, logic.Moved{})
+		}
 		return
 	}
 	if ev.watched {
@@ -491,7 +503,11 @@
 		form = logic.ListFull
 	}
 	n.generation = ev.list.Generation
+	bad := n.dir.unusable
 	rows := n.dir.take(ev.list)
+	if bad = n.dir.unusable - bad; bad > 0 {
+		n.log.Warn("list", "generation", ev.list.Generation, "entries that make no sense", bad)
+	}
 	if len(rows) > 0 {
 		n.log.Info("list", "generation", ev.list.Generation, "whole", ev.list.Reset, "entries", len(rows))
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -79,7 +79,7 @@
 	askApart   = 4 * Second // ours: their longest: what changes counts as told after 6 s
 	logMost    = 200        // ours: log lines in a life
 	tableLeast = 256        // ours: entries that a table may hold before any is dropped
-	lastPart   = 0.3        // ours: part of a message's time in which one found untried goes past the pace
+	lastPart   = 0.15       // ours: part of a message's time in which one found untried goes past the pace
 	awayTime   = 1500_000   // ours: from a stop until the next start can send
 	never      = Micros(math.MaxInt64)
 	longAgo    = Micros(math.MinInt64 / 2)
@@ -162,6 +162,13 @@
 	return min(askEach*Micros(s.set.Senders), askApart), askApart
 }
 
+// moved ends the pause before discovery is asked again: what it has to tell counts as told soon after a move.
+func (s *Sender) moved() {
+	if s.askAt != never {
+		s.askAt, s.askGap = s.now, askGap
+	}
+}
+
 func (s *Sender) entry(row Entry) {
 	e := s.eps[row.Endpoint]
 	if row.State == Gone {
@@ -452,7 +459,7 @@
 	if old := s.listAt + s.set.ListAge; s.set.ListAge > 0 && !s.watched && m.deadline <= old+staleMost+Second {
 		return min(m.chance, old-Second)
 	}
-	return m.chance
+	return min(m.chance, m.deadline-2*s.usual(m)) // before the median gate shuts
 }
 
 // staleTill is the time until which nothing is sent since the list is old: what changes counts as told some
--- a/logic/mechanism_test.go
+++ b/logic/mechanism_test.go
@@ -1109,3 +1109,21 @@
 		t.Error("not sent once put back")
 	}
 }
+
+// A move of discovery ends the pause after a failed call, however long; with a watch out there is none to end.
+func TestMoveEndsThePauseAfterAFailure(t *testing.T) {
+	set := base()
+	set.Senders = 300
+	r := newRig(t, set)
+	r.step(0, list(1))
+	if n := len(only[Listen](r.step(0.1, Moved{}))); n != 0 {
+		t.Error("asked twice: a watch is out")
+	}
+	r.step(1, Endpoints{Form: ListFailed})
+	if n := len(only[Listen](r.step(1.5, Due{}))); n != 0 {
+		t.Fatal("no pause after a failed call")
+	}
+	if n := len(only[Listen](r.step(1.6, Moved{}))); n != 1 {
+		t.Error("the new address is not asked at once")
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -475,6 +475,8 @@
 		s.ban(ev.Endpoint)
 	case PutBack:
 		s.unban(ev.Endpoint)
+	case Moved:
+		s.moved()
 	case Closing:
 		s.closing(ev.Left)
 	case Due:
--- a/logic/types.go
+++ b/logic/types.go
@@ -187,6 +187,9 @@
 // PutBack ends that. The endpoint counts as cold from now on: it may have been restarted meanwhile.
 type PutBack struct{ Endpoint EndpointID }
 
+// Moved says that discovery has another address: what made calls for the list fail may be over.
+type Moved struct{}
+
 // Started says that a stream has begun to flow: nothing more can be done for
 // the message.
 type Started struct {
@@ -244,6 +247,7 @@
 func (Closing) isEvent()      {}
 func (TakeOut) isEvent()      {}
 func (PutBack) isEvent()      {}
+func (Moved) isEvent()        {}
 
 // Action is something to do: one of the types below.
 type Action interface{ isAction() }
