Hold calls that still connect to where an endpoint was before the list moved it

Read line by line: list() in loop.go held what connects to endpoints that drain or go. One that comes back under another address, or for another destination, is up: a call that was still connecting to its old place was written there, after the list had named another. A connection may come up late, by up to 1 s.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -34,6 +34,7 @@
 	attempt int
 	ep      logic.EndpointID
 	addr    string
+	dest    int64
 	giveUp  time.Duration
 	at      time.Time // of its start
 	writeBy time.Time // not to be written after this; zero for no such time
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -515,6 +515,11 @@
 		i := slices.IndexFunc(rows, func(row logic.Entry) bool { return row.Endpoint == ep })
 		return i >= 0 && rows[i].State != logic.Ready || i < 0 && ev.list.Reset
 	})
+	for _, h := range n.held { // what connects to where the endpoint was
+		if h.stop != nil && (h.call.addr != n.dir.eps[h.call.ep].addr || h.call.dest != n.dir.eps[h.call.ep].dest) {
+			h.hold()
+		}
+	}
 	n.next = append(n.next, logic.Endpoints{Form: form, Entries: rows})
 }
 
@@ -757,7 +762,7 @@
 	attempt := h.tries
 	h.tries++
 	to := n.dir.eps[a.Endpoint]
-	in := &call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.addr, giveUp: span(a.GiveUp), state: new(atomic.Int32)}
+	in := &call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.addr, dest: to.dest, giveUp: span(a.GiveUp), state: new(atomic.Int32)}
 	if e := n.journal.Entry(a.ID); e != nil && e.MayRun { // a repeat: by the end of the window it must be written
 		if c := n.cfg.Deploy.Settings.Classes[n.cfg.Classes[h.msg.Class]]; c.Effect == logic.Keyed {
 			in.writeBy = time.UnixMicro(e.FirstMay).Add(span(c.Window))
@@ -785,12 +790,18 @@
 // would reach the endpoint long after. They end as never sent.
 func (n *Node) hold(match func(ep logic.EndpointID) bool) {
 	for _, h := range n.held {
-		if h.stop != nil && match(h.call.ep) && h.call.state.CompareAndSwap(callConnecting, callHeld) {
-			h.stop(nil)
+		if h.stop != nil && match(h.call.ep) {
+			h.hold()
 		}
 	}
 }
 
+func (h *held) hold() {
+	if h.call.state.CompareAndSwap(callConnecting, callHeld) {
+		h.stop(nil)
+	}
+}
+
 // holdWait holds calls to where a wait was told: the destination, or the one route where routes are apart.
 func (n *Node) holdWait(ep logic.EndpointID) {
 	to := n.dir.eps[ep]
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -614,6 +614,15 @@
 		{"whole list", false, func(n *Node) {
 			n.list(listEvent{list: List{Reset: true, Instances: []Instance{{ID: "a", Dest: 1, Lifecycle: "up"}}}})
 		}, [4]bool{false, true, true, false}},
+		{"another address", false, func(n *Node) {
+			n.list(listEvent{list: List{Instances: []Instance{{ID: "b", HostPort: "h:9", Dest: 1, Lifecycle: "up"}}}})
+		}, [4]bool{false, true, false, false}},
+		{"another destination", false, func(n *Node) {
+			n.list(listEvent{list: List{Instances: []Instance{{ID: "c", HostPort: "h:3", Dest: 1, Lifecycle: "up"}}}})
+		}, [4]bool{false, false, true, false}},
+		{"as before", false, func(n *Node) {
+			n.list(listEvent{list: List{Instances: []Instance{{ID: "c", HostPort: "h:3", Dest: 2, Lifecycle: "up"}}}})
+		}, [4]bool{false, false, false, false}},
 	} {
 		cfg, err := ParseConfig(configText(newPlatform(t), List{}))
 		if err != nil {
@@ -630,7 +639,8 @@
 			{ID: "b", HostPort: "h:2", Kind: "std", Dest: 1}, {ID: "c", HostPort: "h:3", Kind: "std", Dest: 2}}})
 		var calls []*call
 		for i, ep := range []logic.EndpointID{1, 2, 3, 1} {
-			calls = append(calls, &call{ep: ep, state: new(atomic.Int32)})
+			to := n.dir.eps[ep]
+			calls = append(calls, &call{ep: ep, addr: to.addr, dest: to.dest, state: new(atomic.Int32)})
 			n.held[fmt.Sprint("m", i)] = &held{call: calls[i], stop: func(error) {}}
 		}
 		calls[3].state.Store(callWritten)
