--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -40,6 +40,8 @@
 	writeBy time.Time // not to be written after this; zero for no such time
 	request *http.Request
 	state   *atomic.Int32
+	kept    *idleConn                      // a connection to use; nil to make one
+	allow   func(ctx context.Context) bool // asked once a new connection is up; nil if nobody wants to know
 }
 
 // The states of a call. It goes from the first to one of the others, once.
@@ -118,6 +120,9 @@
 func (c *caller) do(ctx context.Context, in *call) result {
 	deadline := in.at.Add(in.giveUp)
 	conn, err := c.connect(ctx, in, deadline)
+	if err == nil && conn != in.kept && in.allow != nil && !in.allow(ctx) {
+		in.state.CompareAndSwap(callConnecting, callHeld)
+	}
 	if !in.writeBy.IsZero() && time.Now().After(in.writeBy) {
 		in.state.CompareAndSwap(callConnecting, callHeld)
 	}
@@ -253,11 +258,16 @@
 	return err != nil || b[len(line)] == ' ' || b[len(line)] == '\r' || b[len(line)] == '\n'
 }
 
-// connect takes a kept connection or makes one.
+// connect takes the connection that the call was given, or makes one. Where nobody has to be asked for leave it looks
+// for a kept one first.
 func (c *caller) connect(ctx context.Context, in *call, deadline time.Time) (*idleConn, error) {
-	if conn := c.take(in.ep, in.addr); conn != nil {
+	kept := in.kept
+	if kept == nil && in.allow == nil {
+		kept = c.take(in.ep, in.addr)
+	}
+	if kept != nil {
 		c.note("reused")
-		return conn, nil
+		return kept, nil
 	}
 	c.note("dialed")
 	ctx, cancel := context.WithDeadline(ctx, deadline)
--- /dev/null
+++ b/internal/node/crash_test.go
@@ -0,0 +1,226 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"ravenmount/logic"
+)
+
+// leftBehind copies what a sender's death at this moment would leave in its folder.
+func leftBehind(t *testing.T, dir string) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(dir, journalName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	to := t.TempDir()
+	if err := os.WriteFile(filepath.Join(to, journalName), text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return to
+}
+
+// A sender dies while a call still connects: nothing of it was written, so the next start sends the message, an unsafe
+// one too. Once it is written it may have run. The gate holds the connection as one that comes up late.
+func TestKillWhileConnecting(t *testing.T) {
+	for _, class := range []string{"safe", "keyed", "unsafe"} {
+		at, open := make(chan bool), make(chan bool)
+		n, c, p, e := world(t, 1, func(n *Node) {
+			n.caller.dialer.Control = func(_, _ string, _ syscall.RawConn) error {
+				at <- true
+				<-open
+				return nil
+			}
+		})
+		c.put("a", class, "+OK")
+		await(t, at, "call that connects")
+		connecting := leftBehind(t, n.cfg.StateDir)
+		open <- true
+		in := await(t, e[0].calls, "call")
+		written := leftBehind(t, n.cfg.StateDir)
+		in.reply(200)
+		stopClean(t, n)
+
+		other := newEndpoint(t)
+		known := List{Generation: 1, Reset: true, Instances: instances(other)}
+		p.set(func() { p.list = known })
+		next := startNode(t, p, connecting, known)
+		in = await(t, other.calls, class+" message that nobody was sent")
+		if in.id() != "a" {
+			t.Errorf("%s: call with %s", class, in.id())
+		}
+		in.reply(200)
+		stopClean(t, next)
+
+		next = startNode(t, p, written, known)
+		if class == "unsafe" {
+			if x := await(t, p.notices, "notice"); x != (Notice{ID: "a", State: "failed"}) {
+				t.Errorf("notice %+v", x)
+			}
+		} else {
+			await(t, other.calls, class+" message again").reply(200)
+		}
+		stopClean(t, next)
+		other.none(t)
+		if len(p.notices) != 0 {
+			t.Errorf("%s: notice %+v", class, <-p.notices)
+		}
+	}
+}
+
+// Each attempt counts once, whether it had to connect or not, through a restart and a rewrite too, and one that only
+// connected has not run.
+func TestJournalTellsConnectingFromWritten(t *testing.T) {
+	dir := t.TempDir()
+	j := openJournal(t, dir, 3e6)
+	mustAppend(t, j, accept("a", 10), record{Op: opBegin, ID: "a"})
+	want := func(tries int, begun, open, may bool) {
+		t.Helper()
+		for _, what := range []string{"as it is", "replayed", "rewritten"} {
+			e := j.Entry("a")
+			if e.Tries != tries || e.Begun != begun || e.Open != open || e.MayRun != may {
+				t.Errorf("%s: %d tries, begun %v, open %v, may have run %v; want %d, %v, %v, %v", what, e.Tries, e.Begun,
+					e.Open, e.MayRun, tries, begun, open, may)
+			}
+			if what == "replayed" {
+				if err := j.Compact(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			j.Close()
+			j = openJournal(t, dir, 3e6)
+		}
+	}
+	want(1, true, false, false)
+	mustAppend(t, j, record{Op: opSend, ID: "a", At: 7})
+	want(1, false, true, false)
+	mustAppend(t, j, record{Op: opOutcome, ID: "a"})
+	mustAppend(t, j, record{Op: opSend, ID: "a", At: 8}) // on a kept connection
+	want(2, false, true, false)
+	mustAppend(t, j, record{Op: opOutcome, ID: "a", MayRun: true})
+	mustAppend(t, j, record{Op: opBegin, ID: "a"}, record{Op: opOutcome, ID: "a"})
+	want(3, false, false, true)
+	j.Close()
+}
+
+// A call that is called off while it waits for leave, or that gets none, is not written.
+func TestCalledOffBeforeItIsWritten(t *testing.T) {
+	e, c := newEndpoint(t), testCaller()
+	ctx, cancel := context.WithCancel(t.Context())
+	for _, allow := range []func(context.Context) bool{
+		func(context.Context) bool { return false },
+		func(ctx context.Context) bool { cancel(); <-ctx.Done(); return false },
+	} {
+		in := newCall(t, e.addr(), "hello", patience)
+		in.allow = allow
+		if r := c.do(ctx, in); r.outcome != logic.Moot {
+			t.Errorf("got %+v, want Moot", r)
+		}
+	}
+	e.none(t)
+}
+
+// A death between the message's record and its +OK, or in the middle of writing any record, leaves what was owed before,
+// and nothing that was not whole counts.
+func TestKillAtEachByteOfTheJournal(t *testing.T) {
+	dir := t.TempDir()
+	j := openJournal(t, dir, 3e6)
+	var ends []int64
+	for _, rec := range []record{accept("a", 10), {Op: opBegin, ID: "a"}, {Op: opSend, ID: "a"}, {Op: opOutcome, ID: "a", MayRun: true},
+		{Op: opEnd, ID: "a", Notice: &Notice{ID: "a", State: "failed"}}, {Op: opNoticed, ID: "a"}} {
+		mustAppend(t, j, rec)
+		ends = append(ends, j.size)
+	}
+	whole, err := os.ReadFile(filepath.Join(dir, journalName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	j.Close()
+	state := func(e *Entry) string {
+		if e == nil {
+			return "nothing owed"
+		}
+		return fmt.Sprint(e.Tries, e.Begun, e.Open, e.MayRun, e.End != nil)
+	}
+	want := []string{"nothing owed", "0 false false false false", "1 true false false false", "1 false true false false",
+		"1 false false true false", "1 false false true true", "nothing owed"}
+	for cut := range int64(len(whole)) + 1 {
+		dir := t.TempDir()
+		if err := os.WriteFile(filepath.Join(dir, journalName), whole[:cut], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.WriteFile(filepath.Join(dir, journalName+".new"), whole[cut/2:], 0o600); err != nil { // in a rewrite
+			t.Fatal(err)
+		}
+		records := 0
+		for _, end := range ends {
+			if end <= cut {
+				records++
+			}
+		}
+		j := openJournal(t, dir, 3e6)
+		if got := state(j.Entry("a")); got != want[records] {
+			t.Fatalf("cut at byte %d: %s, want %s", cut, got, want[records])
+		}
+		if _, err := os.Stat(filepath.Join(dir, journalName+".new")); err == nil {
+			t.Fatal("half a rewrite is left")
+		}
+		j.Close()
+	}
+}
+
+// After SIGKILL and after SIGTERM what was never tried goes out at the next start, with many messages in the journal,
+// with a told wait that ended with the process, and with discovery silent; little time left is enough.
+func TestRestartTriesAllThatIsOwed(t *testing.T) {
+	for _, x := range []struct {
+		name string
+		term bool
+		ms   int
+	}{{"SIGKILL", false, 16000}, {"SIGTERM", true, 16000}} {
+		p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+		known := List{Generation: 1, Reset: true, Instances: instances(e)}
+		p.list = known
+		first := startProcess(t, p, dir, known)
+		c := dial(t, first.addr)
+		c.put("told", "safe", "+OK")
+		await(t, e.calls, "call").reply(429, "X-Come-Back-Ms: 60000")
+		for stop := time.Now().Add(patience); ; { // until the loop has the wait
+			if j := openJournal(t, leftBehind(t, dir), 3e6); !j.Entry("told").Open && !j.Entry("told").Begun {
+				break
+			}
+			if time.Now().After(stop) {
+				t.Fatal("no outcome in the journal")
+			}
+		}
+		for i := range 6 {
+			c.putFor(fmt.Sprint("m", i), []string{"safe", "keyed", "unsafe"}[i%3], x.ms, "+OK")
+		}
+		e.none(t)
+		if x.term {
+			first.term()
+			first.end()
+		} else {
+			first.kill()
+		}
+		p.set(func() { p.silent = true })
+		next := startProcess(t, p, dir, known)
+		got := map[string]bool{}
+		for len(got) < 7 {
+			in := await(t, e.calls, fmt.Sprintf("%s: call, after %d of 7 messages", x.name, len(got)))
+			got[in.id()] = true
+			in.reply(200)
+		}
+		next.term()
+		next.end()
+		e.none(t)
+		if len(p.notices) != 0 {
+			t.Errorf("%s: notice %+v", x.name, <-p.notices)
+		}
+	}
+}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -38,7 +38,8 @@
 type Entry struct {
 	Message
 	Tries     int     `json:"tries,omitempty"`
-	Open      bool    `json:"open,omitempty"`      // the last attempt has no outcome
+	Begun     bool    `json:"begun,omitempty"`     // the last attempt has no outcome, and still connects
+	Open      bool    `json:"open,omitempty"`      // the last attempt has no outcome, and may have been written
 	MayRun    bool    `json:"may_run,omitempty"`   // an earlier one may have run
 	FirstMay  int64   `json:"first_may,omitempty"` // when the first that may have run was sent, Unix microseconds
 	FirstZone int     `json:"zone,omitempty"`      // zone of its endpoint
@@ -52,13 +53,14 @@
 
 const (
 	opAccept  op = iota + 1 // a message is taken on
-	opSend                  // an attempt is about to be made
+	opSend                  // an attempt is about to be written
 	opOutcome               // it has its outcome
 	opDone                  // delivered, or over without our word
 	opEnd                   // ended by us; the notice is owed
 	opNoticed               // the notice is confirmed
 	opTakeOut               // an operator has taken an endpoint out; the id is the endpoint's
 	opPutBack               // and put it back
+	opBegin                 // an attempt is about to connect; opSend follows once it may be written
 )
 
 // record is one line of the journal.
@@ -187,14 +189,19 @@
 		return
 	}
 	switch rec.Op {
-	case opSend:
+	case opBegin:
 		e.Tries++
-		e.Open = true
+		e.Begun = true
+	case opSend:
+		if !e.Begun {
+			e.Tries++
+		}
+		e.Begun, e.Open = false, true
 		if !e.MayRun {
 			e.FirstMay, e.FirstZone = rec.At, rec.Zone
 		}
 	case opOutcome:
-		e.Open = false
+		e.Begun, e.Open = false, false
 		e.MayRun = e.MayRun || rec.MayRun
 	case opEnd:
 		e.End = rec.Notice
@@ -223,7 +230,7 @@
 	err := j.write(recs)
 	for _, rec := range recs {
 		switch rec.Op {
-		case opAccept, opSend, opTakeOut, opPutBack:
+		case opAccept, opBegin, opSend, opTakeOut, opPutBack:
 			if err != nil {
 				continue
 			}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -35,6 +35,13 @@
 	took   time.Duration
 }
 
+// leave is asked for before a call is written on a new connection: the journal has to know first, for whoever reads it
+// next must take a call that only connected for one that never ran, and one that was written for one that may have.
+type leave struct {
+	call   *call
+	answer chan<- bool
+}
+
 // healthEvent is the one outcome of a probe.
 type healthEvent struct {
 	ep      logic.EndpointID
@@ -70,7 +77,8 @@
 	orders  chan order
 	heirs   chan heir
 	moves   chan struct{} // holds one token when discovery has moved
-	sockets int // descriptors that this process and another version of it may hold together
+	writes  chan leave    // calls that have connected and would be written
+	sockets int           // descriptors that this process and another version of it may hold together
 	lock    *os.File
 	ln      net.Listener
 	ready   chan net.Addr // gets the address once clients are served
@@ -105,7 +113,7 @@
 	if sockets <= 0 {
 		sockets = 1024
 	}
-	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, heirs: make(chan heir), moves: make(chan struct{}, 1), dir: newDirectory(cfg),
+	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, heirs: make(chan heir), moves: make(chan struct{}, 1), writes: make(chan leave), dir: newDirectory(cfg),
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
 		events: make(chan any, eventRoom), orders: make(chan order), ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
 	n.disc = newDiscovery(cfg.Discovery, set.Senders, span(set.DrainGrace), cfg.Seed, log, n.events)
@@ -332,6 +340,9 @@
 			continue
 		case ev := <-n.events:
 			n.take(ev)
+		case x := <-n.writes:
+			n.allow(x)
+			continue
 		case <-n.moves:
 			if !n.watching { // a watch that is out goes to the new address by itself
 				n.next = append(n.next, logic.Moved{})
@@ -366,8 +377,44 @@
 			n.step(work)
 		}
 		pause.Reset(tick)
-		<-pause.C
+		for over := false; !over; {
+			select {
+			case <-pause.C:
+				over = true
+			case x := <-n.writes:
+				n.allow(x)
+			}
+		}
+	}
+}
+
+// allow lets a call be written once the journal has it, unless it has been called off meanwhile.
+func (n *Node) allow(x leave) {
+	h := n.held[x.call.id]
+	if h == nil || h.call != x.call || h.over || x.call.state.Load() != callConnecting {
+		x.answer <- false
+		return
+	}
+	err := n.journal.Append([]record{n.sendRecord(x.call.id, x.call.ep)})
+	if err != nil {
+		n.log.Error("journal", "err", err)
 	}
+	x.answer <- err == nil
+}
+
+func (n *Node) sendRecord(id string, ep logic.EndpointID) record {
+	return record{Op: opSend, ID: id, At: time.Now().UnixMicro(), Zone: n.dir.eps[ep].zone}
+}
+
+// askLeave asks the loop whether a call may be written, until ctx is over.
+func (n *Node) askLeave(ctx context.Context, in *call) bool {
+	answer := make(chan bool, 1)
+	select {
+	case n.writes <- leave{in, answer}:
+	case <-ctx.Done():
+		return false
+	}
+	return <-answer // the loop does not wait
 }
 
 // tally writes a line on how calls went and what is held, unless nothing happened.
@@ -402,8 +449,8 @@
 		if c.Past.MayRun {
 			c.Past.Age, c.Past.Zone = logic.Micros(max(now-e.FirstMay, 0)), e.FirstZone
 		}
-		if e.Open { // whoever reads the journal next must not take its outcome for a later one's
-			n.records = append(n.records, record{Op: opOutcome, ID: e.ID, MayRun: true})
+		if e.Open || e.Begun { // whoever reads the journal next must not take its outcome for a later one's
+			n.records = append(n.records, record{Op: opOutcome, ID: e.ID, MayRun: e.Open})
 		}
 		n.next = append(n.next, c)
 	}
@@ -637,11 +684,16 @@
 			n.records = append(n.records, record{Op: opAccept, Entry: &Entry{Message: m}})
 		}
 	}
-	now := time.Now().UnixMicro()
+	kept := map[string]*idleConn{} // what the calls of this step use
 	for _, a := range actions {
 		switch a := a.(type) {
 		case logic.CallOut:
-			n.records = append(n.records, record{Op: opSend, ID: a.ID, At: now, Zone: n.dir.eps[a.Endpoint].zone})
+			if conn := n.caller.take(a.Endpoint, n.dir.eps[a.Endpoint].addr); conn != nil {
+				kept[a.ID] = conn
+				n.records = append(n.records, n.sendRecord(a.ID, a.Endpoint))
+			} else {
+				n.records = append(n.records, record{Op: opBegin, ID: a.ID})
+			}
 		case logic.Refuse, logic.Fail:
 			x := noticeOf(a)
 			if answers[x.ID] == "" && n.journal.Entry(x.ID) != nil {
@@ -668,7 +720,7 @@
 	}
 	n.puts = nil
 	for _, a := range actions {
-		n.act(work, a, answers, err == nil)
+		n.act(work, a, answers, kept, err == nil)
 	}
 }
 
@@ -712,10 +764,10 @@
 	}
 }
 
-func (n *Node) act(work context.Context, a logic.Action, answers map[string]string, written bool) {
+func (n *Node) act(work context.Context, a logic.Action, answers map[string]string, kept map[string]*idleConn, written bool) {
 	switch a := a.(type) {
 	case logic.CallOut:
-		n.callOut(work, a, written)
+		n.callOut(work, a, kept[a.ID], written)
 	case logic.Cancel:
 		if h := n.held[a.ID]; h != nil && h.stop != nil && h.tries-1 == a.Attempt {
 			h.stop(nil)
@@ -752,9 +804,12 @@
 	}
 }
 
-// callOut makes an attempt. Without its record in the journal it is not made.
-func (n *Node) callOut(work context.Context, a logic.CallOut, written bool) {
+// callOut makes an attempt, on a kept connection if there is one. Without its record in the journal it is not made.
+func (n *Node) callOut(work context.Context, a logic.CallOut, kept *idleConn, written bool) {
 	h := n.held[a.ID]
+	if kept != nil && (h == nil || !written) && !n.caller.put(a.Endpoint, kept) {
+		kept.Close()
+	}
 	if h == nil { // never taken on; the module is still owed its one outcome
 		n.next = append(n.next, logic.Reply{ID: a.ID, NoMore: true, Endpoint: a.Endpoint, Outcome: logic.Moot})
 		return
@@ -762,7 +817,9 @@
 	attempt := h.tries
 	h.tries++
 	to := n.dir.eps[a.Endpoint]
-	in := &call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.addr, dest: to.dest, giveUp: span(a.GiveUp), state: new(atomic.Int32)}
+	in := &call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.addr, dest: to.dest, giveUp: span(a.GiveUp),
+		state: new(atomic.Int32), kept: kept}
+	in.allow = func(ctx context.Context) bool { return n.askLeave(ctx, in) }
 	if e := n.journal.Entry(a.ID); e != nil && e.MayRun { // a repeat: by the end of the window it must be written
 		if c := n.cfg.Deploy.Settings.Classes[n.cfg.Classes[h.msg.Class]]; c.Effect == logic.Keyed {
 			in.writeBy = time.UnixMicro(e.FirstMay).Add(span(c.Window))
@@ -774,6 +831,9 @@
 	if in.request, err = deliverRequest(h.msg, to.addr, in.giveUp); err != nil || !written {
 		if err != nil {
 			n.log.Error("call", "err", err)
+			if written && kept != nil {
+				kept.Close()
+			}
 		}
 		ev := replyEvent{in, result{outcome: logic.Moot}, 0}
 		time.AfterFunc(retryPause, func() { n.events <- ev }) // a full disk, say: room may come
