Go on with the watch at once after a handover, and force the crossings of calls and clients in tests

Read line by line: adopt() in handover.go left discovery as at a first start, whose first call a large fleet spreads over a drain's grace, a smaller one over up to 5.25 s. The new process so took over with no watch, while the old one's had ended: what changed in between counts as told. TestTakeoverWatchesAtOnce fails without the line in adopt().

--- /dev/null
+++ b/internal/node/crossing_test.go
@@ -0,0 +1,300 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"ravenmount/logic"
+)
+
+// gate is a request's body that lets a test act once a connection was chosen, before a byte is written.
+type gate struct {
+	io.Reader
+	act func()
+}
+
+func (g *gate) Read(b []byte) (int, error) {
+	if g.act != nil {
+		g.act()
+		g.act = nil
+	}
+	return g.Reader.Read(b)
+}
+
+// An endpoint closes or resets an idle connection just as a request goes out on it: the connection looked good, all of
+// the request is written, and it may have run for all that the sender knows. It is not sent again by the caller.
+func TestIdleConnectionEndsUnderARequest(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		e, c := newEndpoint(t), testCaller()
+		got := goDo(t.Context(), c, newCall(t, e.addr(), "hello", patience))
+		await(t, e.calls, "call").reply(200)
+		await(t, got, "result")
+		conn := (<-e.conns).(*net.TCPConn)
+		c.mu.Lock()
+		kept := c.idle[1][0]
+		c.mu.Unlock()
+		in := newCall(t, e.addr(), "hello", patience)
+		in.request.Body = io.NopCloser(&gate{strings.NewReader("hello"), func() {
+			if reset {
+				conn.SetLinger(0)
+			}
+			conn.Close()
+			for stop := time.Now().Add(patience); ; { // until it shows here
+				if alive, _ := peek(kept.Conn); !alive || time.Now().After(stop) {
+					break
+				}
+			}
+		}})
+		r := c.do(t.Context(), in)
+		if !reset && r.outcome != logic.Severed || reset && r.outcome != logic.RefusedConn {
+			t.Errorf("reset %v: got %+v", reset, r) // a reset shows before the write: nothing is written
+		}
+		e.none(t)
+		if n := len(e.conns); n != 0 {
+			t.Errorf("reset %v: %d further connections", reset, n)
+		}
+	}
+}
+
+// A connection that comes up when the call's time is over is not written to: nothing of it runs late.
+func TestConnectionComesUpAfterTheDeadline(t *testing.T) {
+	e, c := newEndpoint(t), testCaller()
+	in := newCall(t, e.addr(), "hello", 50*time.Millisecond)
+	in.allow = func(context.Context) bool { // it is up; leave comes late
+		<-time.After(time.Until(in.at.Add(in.giveUp + time.Millisecond)))
+		return true
+	}
+	if r := c.do(t.Context(), in); r.outcome != logic.RefusedConn {
+		t.Errorf("got %+v, want RefusedConn", r)
+	}
+	await(t, e.conns, "connection")
+	e.none(t)
+}
+
+// Answers that never end cost their own message a second at most, and the connection.
+func TestEndlessAnswers(t *testing.T) {
+	e, c := newEndpoint(t), testCaller()
+	for _, x := range []struct {
+		begin, on string
+		want      logic.Outcome
+	}{
+		{"HTTP/1.1 200 OK\r\n", "X-More: of it\r\n", logic.Completed},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n", logic.Completed},
+		{"HTTP/1.1 200 OK\r\n\r\n", "more", logic.Completed},
+		{"HTTP/1.1 503 x\r\n\r\n", "more", logic.Full},
+		{"HTTP/1.1 503 x\r\n", "X-More: of it\r\n", logic.Severed},
+		{"", "HTTP/1.1 100 Continue\r\n\r\n", logic.Severed},
+		{"HTTP/1.1 ", "5", logic.Severed},
+	} {
+		got := goDo(t.Context(), c, newCall(t, e.addr(), "hello", patience))
+		in := await(t, e.calls, "call")
+		go func() {
+			_, err := io.WriteString(in.conn, x.begin)
+			for err == nil {
+				_, err = io.WriteString(in.conn, x.on)
+			}
+			in.done <- false
+		}()
+		if r := await(t, got, "result"); r.outcome != x.want {
+			t.Errorf("%q and on with %q: outcome %d, want %d", x.begin, x.on, r.outcome, x.want)
+		}
+		if c.kept() != 0 {
+			t.Errorf("%q: the connection is kept", x.begin)
+		}
+	}
+}
+
+// An endpoint breaks an unsafe message's call after any number of its bytes: it is never seen whole twice, and it ends
+// once.
+func TestBreakAtEachStageOfACall(t *testing.T) {
+	for _, after := range []int{0, 1, 60, 1 << 20} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ln.Close()
+		var mu sync.Mutex
+		whole := 0
+		go func() {
+			for {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					var seen bytes.Buffer
+					for seen.Len() < after {
+						b := make([]byte, min(after-seen.Len(), 4096))
+						n, err := conn.Read(b)
+						if seen.Write(b[:n]); err != nil || strings.HasSuffix(seen.String(), "body of a") {
+							break
+						}
+					}
+					if strings.HasSuffix(seen.String(), "body of a") {
+						mu.Lock()
+						whole++
+						mu.Unlock()
+					}
+					conn.(*net.TCPConn).SetLinger(0)
+					conn.Close()
+				}()
+			}
+		}()
+		p := newPlatform(t)
+		known := List{Generation: 1, Reset: true, Instances: []Instance{{ID: "s", HostPort: ln.Addr().String(), Zone: "a", Kind: "std",
+			Dest: 1, Lifecycle: "up", Weight: 100}}}
+		p.list = known
+		n := startNode(t, p, t.TempDir(), known)
+		dial(t, n.addr).put("a", "unsafe", "+OK")
+		if x := await(t, p.notices, "notice"); x.ID != "a" {
+			t.Errorf("notice %+v", x)
+		}
+		stopClean(t, n)
+		mu.Lock()
+		if whole > 1 || len(p.notices) != 0 {
+			t.Errorf("broken after %d bytes: seen whole %d times, %d more notices", after, whole, len(p.notices))
+		}
+		mu.Unlock()
+	}
+}
+
+// Clients leave at any byte of a request, by an end or a reset; one leaves before its +OK and is back at once with the
+// same id on a new connection. Others are served, nothing stays behind, and each message runs once.
+func TestClientsLeaveAtAnyByte(t *testing.T) {
+	n, c, _, e := world(t, 1)
+	request := "*5\r\n$7\r\nMSG.PUT\r\n$1\r\n0\r\n$1\r\na\r\n$20\r\nc=safe,d=9000,dest=1\r\n$1\r\nx\r\n"
+	for cut := range len(request) {
+		gone := dial(t, n.addr)
+		io.WriteString(gone.conn, request[:cut])
+		if cut%2 == 1 {
+			gone.conn.(*net.TCPConn).SetLinger(0)
+		}
+		gone.conn.Close()
+	}
+	if got := c.do("PING"); got != "+PONG" {
+		t.Fatalf("another client got %q", got)
+	}
+	e[0].none(t)
+	gone := dial(t, n.addr)
+	io.WriteString(gone.conn, request)
+	gone.conn.(*net.TCPConn).SetLinger(0)
+	gone.conn.Close() // before its answer
+	again := dial(t, n.addr)
+	io.WriteString(again.conn, request)
+	if got := again.line(); got != "+OK" {
+		t.Fatalf("back with the same id: %q", got)
+	}
+	in := await(t, e[0].calls, "call")
+	in.reply(200)
+	c.put("b", "safe", "+OK")
+	if in = await(t, e[0].calls, "next call"); in.id() != "b" {
+		t.Errorf("call with %s again", in.id())
+	}
+	in.reply(200)
+	for stop := time.Now().Add(patience); ; {
+		n.clients.mu.Lock()
+		left := len(n.clients.conns)
+		n.clients.mu.Unlock()
+		if left == 2 { // those that are open
+			break
+		}
+		if time.Now().After(stop) {
+			t.Fatalf("%d connections are left", left)
+		}
+	}
+	stopClean(t, n)
+}
+
+// An endpoint goes and comes back under its name and address while a call runs there: the call's answer counts once,
+// and the endpoint is used again. An answer for a message that has ended meanwhile does no harm.
+func TestEndpointGoesAndComesBack(t *testing.T) {
+	n, c, p, e := world(t, 1)
+	c.put("a", "unsafe", "+OK")
+	in := await(t, e[0].calls, "call")
+	list := instances(e[0])
+	list[0].Lifecycle = "removed"
+	p.set(func() { p.list = List{Generation: 2, Instances: list} })
+	taken(t, p, 2)
+	c.put("b", "unsafe", "+OK") // waits
+	e[0].none(t)
+	p.set(func() { p.list = List{Generation: 3, Instances: instances(e[0])} })
+	second := await(t, e[0].calls, "call of what waited")
+	in.reply(200)
+	second.reply(200)
+	c.putFor("c", "unsafe", 200, "+OK")
+	late := await(t, e[0].calls, "call")
+	if x := await(t, p.notices, "notice"); x != (Notice{ID: "c", State: "failed"}) {
+		t.Errorf("notice %+v", x)
+	}
+	late.awaitEnd(t)
+	late.reply(200)
+	c.put("d", "unsafe", "+OK")
+	last := await(t, e[0].calls, "call")
+	if last.id() != "d" {
+		t.Errorf("call with %s", last.id())
+	}
+	last.reply(200)
+	stopClean(t, n)
+	if len(p.notices) != 0 {
+		t.Errorf("notice %+v", <-p.notices)
+	}
+}
+
+// SIGHUP while a sender stops: what it still owes goes to the new address, and it ends in good order.
+func TestHangupCrossesTerm(t *testing.T) {
+	p, q, e, dir := newPlatform(t), newPlatform(t), newEndpoint(t), t.TempDir()
+	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list, q.list = known, known
+	x := startProcess(t, p, dir, known)
+	c := dial(t, x.addr)
+	c.put("a", "unsafe", "+OK")
+	in := await(t, e.calls, "call")
+	x.term()
+	if got := c.line(); got != "" {
+		t.Errorf("got %q", got)
+	}
+	if err := os.WriteFile(x.config, configText(q, known), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	x.cmd.Process.Signal(syscall.SIGHUP)
+	await(t, q.asked, "call to the new address")
+	in.reply(500)
+	if got := await(t, q.notices, "notice"); got != (Notice{ID: "a", State: "failed"}) {
+		t.Errorf("notice %+v", got)
+	}
+	x.end()
+	if ids := owed(t, dir); ids != nil || len(p.notices) != 0 {
+		t.Errorf("still owed: %v; the old address got %d notices", ids, len(p.notices))
+	}
+}
+
+// A process that takes over goes on with the watch at once, however many senders there are: it is no first start, whose
+// calls are spread.
+func TestTakeoverWatchesAtOnce(t *testing.T) {
+	p := newPlatform(t)
+	text := strings.Replace(string(configText(p, List{})), `"balancers":1,`, `"balancers":300,`, 1)
+	cfg, err := ParseConfig([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.StateDir = t.TempDir()
+	n, err := New(cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.close()
+	n.adopt(t.Context(), &legacy{parcel: parcel{At: time.Now().UnixMicro(), IDs: map[string]logic.EndpointID{}}})
+	n.disc.first = time.Hour // the spread, were there one
+	n.listen(t.Context())
+	await(t, p.asked, "call for the list")
+	await(t, n.events, "its answer") // the watch ends with the test
+}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -546,6 +546,7 @@
 // adopt goes on with what another process has handed over.
 func (n *Node) adopt(work context.Context, l *legacy) {
 	n.start = time.Now().Add(-span(l.Clock) - max(time.Since(time.UnixMicro(l.At)), 0))
+	n.disc.back = true // this is no first start: the watch goes on at once
 	n.dir.adopt(l.IDs)
 	for id, t := range l.Targets {
 		n.dir.eps[id] = target{t.Addr, t.Zone, t.Dest, t.Kind}
