--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -224,3 +224,29 @@
 		}
 	}
 }
+
+// Settings that no longer name a message's class leave open whether it may be repeated: it takes no other class's way.
+func TestRestartWithoutAMessagesClass(t *testing.T) {
+	dir := t.TempDir()
+	j := openJournal(t, dir, 3e6)
+	for _, id := range []string{"untried", "open"} {
+		rec := accept(id, 10)
+		rec.Entry.Class, rec.Entry.Dest, rec.Entry.Deadline = "of old", 1, time.Now().Add(patience).UnixMicro()
+		mustAppend(t, j, rec)
+	}
+	mustAppend(t, j, record{Op: opSend, ID: "open"})
+	j.Close()
+	p, e := newPlatform(t), newEndpoint(t)
+	p.list = List{Generation: 1, Reset: true, Instances: instances(e)}
+	n := startNode(t, p, dir, p.list)
+	ends := map[string]string{}
+	for range 2 {
+		x := await(t, p.notices, "notice")
+		ends[x.ID] = x.State
+	}
+	if ends["untried"] != "returned" || ends["open"] != "failed" {
+		t.Errorf("ends %v", ends)
+	}
+	stopClean(t, n)
+	e.none(t)
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -232,9 +232,9 @@
 			d.started = false
 		}
 		url, limit := base+"/discovery/hosts", listTime
-		direct := !d.started || first // the answer need not wait for news
+		direct := !d.started || first || bad > 0 // the answer need not wait for news
 		switch {
-		case d.started && first:
+		case d.started && direct:
 			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, promptHold.Milliseconds())
 		case d.started:
 			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, d.hold.Milliseconds())
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -398,8 +398,10 @@
 	err := n.journal.Append([]record{n.sendRecord(x.call.id, x.call.ep)})
 	if err != nil {
 		n.log.Error("journal", "err", err)
+		time.AfterFunc(retryPause, func() { x.answer <- false }) // a full disk, say: room may come
+		return
 	}
-	x.answer <- err == nil
+	x.answer <- true
 }
 
 func (n *Node) sendRecord(id string, ep logic.EndpointID) record {
@@ -414,7 +416,7 @@
 	case <-ctx.Done():
 		return false
 	}
-	return <-answer // the loop does not wait
+	return <-answer // it comes, after a pause at the latest
 }
 
 // tally writes a line on how calls went and what is held, unless nothing happened.
@@ -442,6 +444,16 @@
 			n.notices.add(*e.End)
 			continue
 		}
+		if _, ok := n.cfg.Classes[e.Class]; !ok { // whether it may be repeated, and until when, is not known
+			n.log.Warn("a message of a class that the settings do not name", "id", e.ID, "class", e.Class)
+			x := Notice{ID: e.ID, State: "returned"}
+			if e.MayRun || e.Open {
+				x.State = "failed"
+			}
+			n.records = append(n.records, record{Op: opEnd, ID: e.ID, Notice: &x})
+			n.notices.add(x)
+			continue
+		}
 		n.held[e.ID] = &held{msg: &e.Message, tries: e.Tries}
 		n.open++
 		c := n.callOf(&e.Message, now)
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -93,9 +93,9 @@
 		if first.err != nil || first.list.Generation != 6 || len(first.list.Instances) != 1 {
 			t.Errorf("%s: told %+v", nonsense, first)
 		}
-		for range 2 {
-			if q := await(t, s.asked, "call"); !strings.HasPrefix(q, "from=5&") {
-				t.Errorf("%s: asked %q", nonsense, q)
+		for _, want := range []string{"from=5&hold_ms=4000", "from=5&hold_ms=1"} { // again, not waiting for more news
+			if q := await(t, s.asked, "call"); q != want {
+				t.Errorf("%s: asked %q, want %q", nonsense, q, want)
 			}
 		}
 		if log.count("the list stays as it is") != 1 {
