--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -250,3 +251,66 @@
 	stopClean(t, n)
 	e.none(t)
 }
+
+// A sender of a large fleet dies with untried messages whose time is nearly up, more than its share of the limit lets
+// out in that time, and discovery answers nothing at its start: each of them is called all the same.
+func TestRestartWithLittleTimeLeft(t *testing.T) {
+	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
+	p.silent = true
+	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	known.Instances[0].Weight = 5
+	text := string(configText(p, known))
+	for old, with := range map[string]string{`"balancers":1,`: `"balancers":300,`, `"call_slots":6`: `"call_slots":12`} {
+		text = strings.Replace(text, old, with, 1)
+	}
+	cfg, err := ParseConfig([]byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	j := openJournal(t, dir, 3e6)
+	for i := range 6 {
+		rec := accept(fmt.Sprint("m", i), 10)
+		rec.Entry.Class, rec.Entry.Dest = []string{"safe", "unsafe"}[i%2], 1
+		rec.Entry.Deadline = time.Now().Add(900 * time.Millisecond).UnixMicro()
+		mustAppend(t, j, rec)
+	}
+	j.Close()
+	n := startConfig(t, cfg, dir)
+	got := map[string]bool{}
+	for len(got) < 6 {
+		in := await(t, e.calls, fmt.Sprintf("call, after %d of 6 messages", len(got)))
+		got[in.id()] = true
+		in.reply(200)
+	}
+	stopClean(t, n)
+	if len(p.notices) != 0 {
+		t.Errorf("notice %+v", <-p.notices)
+	}
+}
+
+// BenchmarkReplay is a start with a journal as long as it may be: 3 MB, nearly all of them records of what is over.
+func BenchmarkReplay(b *testing.B) {
+	dir := b.TempDir()
+	j, err := OpenJournal(dir, 3e6)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := 0; j.size < j.limit*9/10; i++ {
+		id := fmt.Sprint("m", i)
+		recs := []record{accept(id, 1000), {Op: opBegin, ID: id}, {Op: opSend, ID: id}}
+		if i%10 > 0 {
+			recs = append(recs, record{Op: opDone, ID: id})
+		}
+		if err := j.Append(recs); err != nil {
+			b.Fatal(err)
+		}
+	}
+	j.Close()
+	for b.Loop() {
+		j, err := OpenJournal(dir, 3e6)
+		if err != nil {
+			b.Fatal(err)
+		}
+		j.Close()
+	}
+}
