--- a/logic/handover_test.go
+++ b/logic/handover_test.go
@@ -66,3 +66,27 @@
 		t.Error("nothing sent afterwards")
 	}
 }
+
+// A handover soon after a start takes along that the list is still the saved one, and what the start found untried.
+func TestResumeKeepsWhatAStartFound(t *testing.T) {
+	set, eps := limited(200)
+	r := newRig(t, set)
+	short, long := r.kept(0, 0.4), r.kept(0, 9)
+	if n := len(only[CallOut](r.step(100, eps, short, long))); n != 0 {
+		t.Fatalf("%d sends on a saved list", n)
+	}
+	next, err := Resume(set, 1, r.s.Save())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.s = next
+	if n := len(only[CallOut](r.step(100.1, r.call(0)))); n != 0 {
+		t.Errorf("%d sends on a saved list after the handover", n)
+	}
+	if out := only[CallOut](r.step(100.21, Due{})); len(out) != 1 || out[0].ID != short.ID {
+		t.Errorf("sent %v, want what has half of its time left", out)
+	}
+	if m := r.s.msgs[long.ID]; !m.untried || m.chance <= sec(100) {
+		t.Errorf("found by the start: %+v", m)
+	}
+}
