--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
@@ -298,3 +299,42 @@
 	await(t, p.asked, "call for the list")
 	await(t, n.events, "its answer") // the watch ends with the test
 }
+
+// Clients send much at once, read none of it back and go: nobody else waits for them, and nothing of them stays.
+func TestClientsSendMuchAndGo(t *testing.T) {
+	n, c, _, e := world(t, 1)
+	for k, text := range []string{"*1\r\n$4\r\nPING\r\n", "*1\r\n$3\r\nNOT\r\n", "nonsense ", "*9\r\n$1\r\nx\r\n"} {
+		flood := dial(t, n.addr)
+		go func() { // until the sender has had enough, or reads no more for want of a reader
+			flood.conn.SetWriteDeadline(time.Now().Add(patience))
+			for sent := 0; sent < 8<<20; {
+				k, err := io.WriteString(flood.conn, strings.Repeat(text, 1000))
+				if sent += k; err != nil {
+					break
+				}
+			}
+			flood.conn.(*net.TCPConn).SetLinger(0)
+			flood.conn.Close()
+		}()
+		for i := range 3 {
+			if got := c.do("PING"); got != "+PONG" {
+				t.Fatalf("%q: another client got %q", text, got)
+			}
+			c.put(fmt.Sprintf("m%d-%d", k, i), "safe", "+OK")
+			await(t, e[0].calls, "call").reply(200)
+		}
+	}
+	for stop := time.Now().Add(patience); ; {
+		n.clients.mu.Lock()
+		left := len(n.clients.conns)
+		n.clients.mu.Unlock()
+		if left == 1 {
+			break
+		}
+		if time.Now().After(stop) {
+			t.Fatalf("%d connections are left", left)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	stopClean(t, n)
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -282,11 +282,11 @@
 	}
 }
 
-// sense says what is wrong with a list, if anything is: changes where there is nothing to change yet, or a list that
-// is older than what is known.
+// sense says what is wrong with a list, if anything is: changes where there is nothing to change yet, a whole list with
+// no word of instances, or a list that is older than what is known.
 func (d *discovery) sense(list List) error {
 	switch {
-	case !d.started && !list.Reset:
+	case !d.started && !list.Reset, list.Reset && list.Instances == nil:
 		return errUnreadable
 	case d.started && list.Generation < d.gen:
 		return errOlder
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -8,6 +8,7 @@
 	"math"
 	"net"
 	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -80,6 +81,7 @@
 	writes  chan leave    // calls that have connected and would be written
 	sockets int           // descriptors that this process and another version of it may hold together
 	lock    *os.File
+	again   bool // the folder has been in use before: this is a restart
 	ln      net.Listener
 	ready   chan net.Addr // gets the address once clients are served
 
@@ -130,10 +132,12 @@
 
 // own makes this process the owner of the state and replays the journal; errLocked if another one is.
 func (n *Node) own() (err error) {
+	_, none := os.Stat(filepath.Join(n.cfg.StateDir, lockName))
 	if n.lock, err = lockState(n.cfg.StateDir); err != nil {
 		return err
 	}
 	n.journal, err = n.openJournal()
+	n.again = none == nil || err == nil && n.journal.size > 0
 	if err == nil && n.journal.cut > 0 {
 		n.log.Warn("journal was not whole", "cut", n.journal.cut)
 	}
@@ -427,13 +431,13 @@
 	}
 }
 
-// resume hands the module what the journal holds, with what became of it so far. A journal shows that this is a
-// restart: what changed meanwhile is not in the list of the configuration.
+// resume hands the module what the journal holds, with what became of it so far. At a restart, also one with nothing
+// in its journal, what changed meanwhile is not in the list of the configuration.
 func (n *Node) resume() {
-	n.disc.back = n.journal.size > 0
+	n.disc.back = n.again
 	if n.cfg.Known.Generation != 0 || len(n.cfg.Known.Instances) > 0 {
 		n.generation, n.disc.gen, n.disc.started = n.cfg.Known.Generation, n.cfg.Known.Generation, true
-		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.take(n.cfg.Known), Old: n.journal.size > 0})
+		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.take(n.cfg.Known), Old: n.again})
 	}
 	for _, id := range n.journal.TakenOut() {
 		n.next = append(n.next, logic.TakeOut{Endpoint: n.dir.number(id)})
