Name the module after the project

go.mod and all imports said ravenmount, a name that stands nowhere else. Behaviour unchanged; go vet and the tests of logic, wire and drill pass.

--- a/cmd/cometrack/main.go
+++ b/cmd/cometrack/main.go
@@ -14,7 +14,7 @@
 	"syscall"
 	"time"
 
-	"ravenmount/internal/node"
+	"crossdeal/internal/node"
 )
 
 func main() {
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -9,8 +9,8 @@
 	"io"
 	"os"
 
-	"ravenmount/internal/wire"
-	"ravenmount/logic"
+	"crossdeal/internal/wire"
+	"crossdeal/logic"
 )
 
 func main() {
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -16,7 +16,7 @@
 	"sync/atomic"
 	"time"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 const (
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 func newCall(t *testing.T, addr, body string, giveUp time.Duration) *call {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -12,8 +12,8 @@
 	"strconv"
 	"time"
 
-	"ravenmount/internal/wire"
-	"ravenmount/logic"
+	"crossdeal/internal/wire"
+	"crossdeal/logic"
 )
 
 // Limits are the bounds that the platform sets for the process.
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -10,7 +10,7 @@
 	"testing"
 	"time"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 // leftBehind copies what a sender's death at this moment would leave in its folder.
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 // gate is a request's body that lets a test act once a connection was chosen, before a byte is written.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -15,7 +15,7 @@
 	"sync"
 	"time"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 const (
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -7,7 +7,7 @@
 	"testing"
 	"time"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 // A fleet watches like few senders while discovery answers soon: what changes within 0.2 s of an answer that no further
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -18,7 +18,7 @@
 	"syscall"
 	"time"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 const (
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -16,7 +16,7 @@
 	"syscall"
 	"time"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 const (
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -14,7 +14,7 @@
 	"testing"
 	"time"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 // owed lists what a stopped sender has left in its journal.
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -14,7 +14,7 @@
 	"sync"
 	"time"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 const (
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -13,7 +13,7 @@
 	"testing"
 	"time"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 // script is a discovery whose every answer a test gives by hand.
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"math"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 // setup is the JSON object that an instance gets at start. Unknown keys are
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"strconv"
 	"strings"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 // Item is one event of a frame with the instance that it is for. Exactly one of
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -7,7 +7,7 @@
 	"strings"
 	"testing"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 func TestTimesAreExact(t *testing.T) {
--- a/logic/example_test.go
+++ b/logic/example_test.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"ravenmount/logic"
+	"crossdeal/logic"
 )
 
 // A message from arrival through a refusal with a wait to delivery.
