Move the list, the directory and discovery's client into a package of their own

Cause: the list and its client lived inside the sender's package, where neither a test of the fleet nor a store of the list can reach them.

Change: internal/discovery has list.go, directory.go and client.go; the sender reads targets through the directory and watches through a small interface. A Dial hook lets tests give a network of their own. Names follow the field: rejected, unavailable, spread. No change of behaviour.

Tests move along as they were. Two of the sender's looked into the client's fields: TestJournalShowsARestart and TestTakeoverWatchesAtOnce now record what the watch begins with, and TestRestartWatchesAtOnce checks in the new package that such a beginning makes the first call at once. TestMoveWhileNoWatchIsOut marks the sender as restarted, as its comment says; before, the start overwrote that mark.

--- /dev/null
+++ b/internal/discovery/client.go
@@ -0,0 +1,307 @@
+// Package discovery keeps a replica of the list of endpoints that discovery publishes, and watches it for changes.
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	watchHold  = 4 * time.Second // how long a watch may wait for news; one that is lost shows soon after
+	watchSlack = time.Second     // and how much later its answer may come; changes count as told 2 s later
+	listTime   = 2 * time.Second // for the whole list, which comes at once where it comes at all
+	// Calls of a fleet add up: where discovery takes one after the other, it rejects what waits for 2 s, and what it
+	// rejected costs it time too. Many senders go on watching while it answers soon, and pause once it is overbooked.
+	SpreadFrom = 8                       // senders from which on that is so
+	spreadHold = 18 * time.Second        // how long a watch may wait for news then
+	busyAfter  = 1300 * time.Millisecond // an answer with news that took longer is followed by a pause
+	spreadEach = 145 * time.Millisecond  // the mean of that, for each sender ...
+	spreadMost = 4400 * time.Millisecond // ... and the longest mean: with 2 s for the next answer it stays under ListAge
+	firstMost  = 5250 * time.Millisecond // before the first call: a fleet that starts meets discovery all at once ...
+	firstEach  = 50 * time.Millisecond   // ... where that can help: discovery needs so long for a call without news
+	prompt     = 25 * time.Millisecond   // an answer that need not wait for news comes sooner, unless discovery is busy
+	promptHold = time.Millisecond        // hold of the call that asks for such an answer
+	accepted   = 2200 * time.Millisecond // a call that is out for longer was not rejected: it waits for news
+	ListAge    = 5800 * time.Millisecond // of an answer, when what changed since counts as told; a bit less than 6 s
+	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing, or with nonsense
+	badMost    = 5                       // answers with nonsense, one after the other, until discovery is left alone for a while
+	maxList    = 4 << 20
+)
+
+var (
+	errUnavailable = errors.New("discovery answered 503")                       // it has no time for a call
+	errUnreadable  = errors.New("the answer is no list")                        // cut short, say
+	errOlder       = errors.New("the list is older than the one that is known") // a late answer, say
+)
+
+// Event is news of the list, or of a call for it that failed.
+type Event struct {
+	Update  Update
+	News    bool   // Update is an answer
+	Watched bool   // no news yet: it is told from now on as soon as there is any
+	Err     error  // of a call that failed; the watch has ended
+	Done    func() // the loop calls it once the update is applied; nil if there is none
+}
+
+// Config is what a client needs to know.
+type Config struct {
+	Addr      string        // of discovery, host:port
+	Senders   int           // that share discovery
+	Grace     time.Duration // for which what begins to drain may still be called
+	Seed      uint64
+	Directory *Directory
+	Log       *slog.Logger
+	Dial      func(ctx context.Context, network, addr string) (net.Conn, error) // nil for TCP
+}
+
+// Client asks for the list. Only one Watch runs at a time.
+type Client struct {
+	client  *http.Client
+	dir     *Directory
+	log     *slog.Logger
+	events  chan<- any
+	hold    time.Duration // how long a watch may wait for news
+	spread  time.Duration // mean pause after news from discovery that is busy
+	first   time.Duration // longest pause before the first call
+	rng     *rand.Rand    // sets our calls apart from those of other senders; used by one watch at a time, as are ...
+	gen     int64         // ... the version of the list that the loop has ...
+	back    bool          // ... whether this is a restart ...
+	begun   bool          // ... whether the first call has been made ...
+	busy    bool          // ... whether discovery is too busy for many senders that ask at once ...
+	started bool          // ... and whether there is such a list
+	wake    chan struct{} // ends a pause: discovery has moved
+	mu      sync.Mutex
+	base    string
+	moved   bool               // since the last call began
+	cut     context.CancelFunc // ends the call under way
+}
+
+// NewClient returns a client that sends an Event for whatever it learns.
+func NewClient(cfg Config, events chan<- any) *Client {
+	hold, spread, first := watchHold, time.Duration(0), time.Duration(0)
+	if senders := cfg.Senders; senders >= SpreadFrom {
+		each := time.Duration(min(senders, 1000)) * spreadEach
+		hold, spread, first = spreadHold, min(each, spreadMost), min(each, firstMost)
+		if time.Duration(min(senders, 1000))*firstEach > firstMost {
+			// If discovery took one call after the other, no spread would do. It is as the protocol has it, with an
+			// answer at once, and what begins to drain after the start may still be called for the grace.
+			first = min(first, cfg.Grace)
+		}
+	}
+	dial := cfg.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
+	}
+	return &Client{base: "http://" + cfg.Addr, hold: hold, spread: spread, first: first,
+		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), dir: cfg.Directory, log: cfg.Log, events: events, wake: make(chan struct{}, 1),
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: dial, MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
+}
+
+// Begin says what is known at the start, before the first Watch: the generation of the list in the directory, below 0
+// if there is none, and whether this is a restart.
+func (d *Client) Begin(generation int64, restart bool) {
+	d.back = restart
+	if d.started = generation >= 0; d.started {
+		d.gen = generation
+	}
+}
+
+// Watch reports changes until a call fails. Each call follows the last answer at once, so that nothing is missed in
+// between, unless discovery is overbooked. Among many senders the first does not wait for news, which shows whether
+// discovery has time; how long a watch takes tells of the news alone. A restarted sender makes it at once: what it
+// would be told counts as told. At a first start the list is new, and a fleet's calls spread.
+func (d *Client) Watch(ctx context.Context) {
+	if d.first > 0 && !d.begun && !d.back {
+		d.wait(ctx, time.Duration(d.rng.Int64N(int64(d.first))))
+	}
+	bad := 0 // answers in a row that made no sense
+	for ctx.Err() == nil {
+		first := d.spread > 0 && !d.begun
+		d.begun = true
+		call, base, moved := d.begin(ctx)
+		if moved { // its list begins anew: the versions of another address may be others
+			d.started = false
+		}
+		url, limit := base+"/discovery/hosts", listTime
+		direct := !d.started || first || bad > 0 // the answer need not wait for news
+		switch {
+		case d.started && direct:
+			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, promptHold.Milliseconds())
+		case d.started:
+			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, d.hold.Milliseconds())
+			limit = d.hold + watchSlack
+		}
+		at := time.Now()
+		list, err := d.await(call, url, limit)
+		if moved := d.end(); ctx.Err() != nil {
+			return
+		} else if moved {
+			bad = 0
+			continue // what the old address said last, the new one says too
+		}
+		if err == nil {
+			err = d.sense(list)
+		}
+		if bad++; bad < badMost && (errors.Is(err, errUnreadable) || errors.Is(err, errOlder)) {
+			d.log.Warn("discovery, the list stays as it is", "err", err, "generation", list.Generation, "known", d.gen)
+			d.wait(ctx, emptyPause) // it has time, and what it has to tell counts as told
+			continue
+		}
+		if errors.Is(err, errOlder) {
+			d.started = false // not a late answer: its count has begun anew
+		}
+		if err != nil {
+			d.log.Warn("discovery", "err", err)
+			d.busy = d.busy || errors.Is(err, errUnavailable)
+			d.events <- Event{Err: err}
+			return
+		}
+		bad = 0
+		d.gen, d.started = list.Generation, true
+		pause, took := time.Duration(0), time.Since(at)
+		if direct || len(list.Instances) > 0 && took < prompt {
+			d.busy = took >= prompt
+		}
+		d.events <- Event{Update: d.dir.Reduce(list), News: true, Done: func() {}}
+		switch {
+		case len(list.Instances) == 0 && took < emptyPause && !direct:
+			pause = emptyPause
+		case d.busy && d.spread > 0 && (len(list.Instances) > 0 && took > busyAfter || len(list.Instances) == 0 && first):
+			pause = d.spread*92/100 + time.Duration(d.rng.Int64N(int64(d.spread)*16/100))
+		}
+		d.wait(ctx, pause)
+	}
+}
+
+// sense says what is wrong with a list, if anything is: changes where there is nothing to change yet, a whole list with
+// no word of instances, or a list that is older than what is known.
+func (d *Client) sense(list List) error {
+	switch {
+	case !d.started && !list.Reset, list.Reset && list.Instances == nil:
+		return errUnreadable
+	case d.started && list.Generation < d.gen:
+		return errOlder
+	}
+	return nil
+}
+
+// await makes a call, and tells the loop if it is one that waits for news.
+func (d *Client) await(ctx context.Context, url string, limit time.Duration) (List, error) {
+	type answer struct {
+		list List
+		err  error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		list, err := d.get(ctx, url, limit)
+		answers <- answer{list, err}
+	}()
+	out := time.NewTimer(accepted)
+	defer out.Stop()
+	select {
+	case a := <-answers:
+		return a.list, a.err
+	case <-out.C:
+	}
+	if d.started {
+		d.events <- Event{Watched: true}
+	}
+	a := <-answers
+	return a.list, a.err
+}
+
+// wait pauses, unless ctx or a move of discovery ends it.
+func (d *Client) wait(ctx context.Context, pause time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-d.wake:
+	case <-time.After(pause):
+	}
+}
+
+// begin says where the next call goes, and whether that is another address than before.
+func (d *Client) begin(ctx context.Context) (call context.Context, base string, moved bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	moved, d.moved = d.moved, false
+	select {
+	case <-d.wake: // this call goes to the new address
+	default:
+	}
+	call, d.cut = context.WithCancel(ctx)
+	return call, d.base, moved
+}
+
+// end lets go of a call and says whether discovery has moved since it began.
+func (d *Client) end() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.cut()
+	d.cut = nil
+	return d.moved
+}
+
+// IsMoved says whether discovery has moved since the last call began.
+func (d *Client) IsMoved() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.moved
+}
+
+// Address is where calls go now.
+func (d *Client) Address() string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.base
+}
+
+// Move takes another address from now on. A call under way to the old one is called off.
+func (d *Client) Move(addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.base, d.moved = "http://"+addr, true
+	if d.cut != nil {
+		d.cut()
+	}
+	select {
+	case d.wake <- struct{}{}:
+	default: // one that is not taken yet stands for this one too
+	}
+}
+
+func (d *Client) get(ctx context.Context, url string, limit time.Duration) (List, error) {
+	var list List
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return list, err
+	}
+	resp, err := d.client.Do(req)
+	if err != nil {
+		return list, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
+		if resp.StatusCode == http.StatusServiceUnavailable {
+			return list, errUnavailable
+		}
+		return list, fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&list); err != nil {
+		return list, fmt.Errorf("%w: %w", errUnreadable, err)
+	}
+	io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
+	return list, nil
+}
--- /dev/null
+++ b/internal/discovery/list.go
@@ -0,0 +1,27 @@
+package discovery
+
+// List is discovery's answer.
+type List struct {
+	Generation int64      `json:"generation"`
+	Reset      bool       `json:"reset"` // the whole list
+	Instances  []Instance `json:"instances"`
+}
+
+// Instance is one endpoint of the list.
+type Instance struct {
+	ID        string  `json:"instanceId"`
+	HostPort  string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"machineType"`
+	Dest      int64   `json:"cell"`
+	Lifecycle string  `json:"lifecycle"` // up, draining or removed; anything else is taken for draining
+	Weight    float64 `json:"weight"`    // calls a second that the destination takes, where the settings say so
+}
+
+// Update is an answer of discovery as the directory takes it.
+type Update struct {
+	Generation int64
+	Whole      bool // the answer was a whole list
+	Rows       []Instance
+	Unusable   int // rows of the answer that made no sense
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"time"
 
+	"crossdeal/internal/discovery"
 	"crossdeal/internal/wire"
 	"crossdeal/logic"
 )
@@ -33,7 +34,7 @@
 	StateDir  string
 	Seed      uint64
 	Limits    Limits
-	Known     List
+	Known     discovery.List
 	Deploy    wire.Deployment
 	Classes   map[string]int
 	Tenants   map[string]int
@@ -120,7 +121,7 @@
 	if len(in.Known) > 0 {
 		if err := json.Unmarshal(in.Known, &cfg.Known); err != nil {
 			cfg.Doubts = append(cfg.Doubts, fmt.Sprintf("known list: %v; begun without one", err))
-			cfg.Known = List{}
+			cfg.Known = discovery.List{}
 		}
 	}
 	if cfg.Seed, err = strconv.ParseUint(in.Seed, 16, 64); err != nil {
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"crossdeal/internal/discovery"
 	"crossdeal/logic"
 )
 
@@ -49,7 +50,7 @@
 		stopClean(t, n)
 
 		other := newEndpoint(t)
-		known := List{Generation: 1, Reset: true, Instances: instances(other)}
+		known := discovery.List{Generation: 1, Reset: true, Instances: instances(other)}
 		p.set(func() { p.list = known })
 		next := startNode(t, p, connecting, known)
 		in = await(t, other.calls, class+" message that nobody was sent")
@@ -185,7 +186,7 @@
 		ms   int
 	}{{"SIGKILL", false, 16000}, {"SIGTERM", true, 16000}} {
 		p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-		known := List{Generation: 1, Reset: true, Instances: instances(e)}
+		known := discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
 		p.list = known
 		first := startProcess(t, p, dir, known)
 		c := dial(t, first.addr)
@@ -238,7 +239,7 @@
 	mustAppend(t, j, record{Op: opSend, ID: "open"})
 	j.Close()
 	p, e := newPlatform(t), newEndpoint(t)
-	p.list = List{Generation: 1, Reset: true, Instances: instances(e)}
+	p.list = discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
 	n := startNode(t, p, dir, p.list)
 	ends := map[string]string{}
 	for range 2 {
@@ -257,7 +258,7 @@
 func TestRestartWithLittleTimeLeft(t *testing.T) {
 	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
 	p.silent = true
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	known := discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
 	known.Instances[0].Weight = 2
 	text := string(configText(p, known))
 	for old, with := range map[string]string{`"balancers":1,`: `"balancers":300,`, `"call_slots":6`: `"call_slots":24`} {
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"crossdeal/internal/discovery"
 	"crossdeal/logic"
 )
 
@@ -151,7 +152,7 @@
 			}
 		}()
 		p := newPlatform(t)
-		known := List{Generation: 1, Reset: true, Instances: []Instance{{ID: "s", HostPort: ln.Addr().String(), Zone: "a", Kind: "std",
+		known := discovery.List{Generation: 1, Reset: true, Instances: []discovery.Instance{{ID: "s", HostPort: ln.Addr().String(), Zone: "a", Kind: "std",
 			Dest: 1, Lifecycle: "up", Weight: 100}}}
 		p.list = known
 		n := startNode(t, p, t.TempDir(), known)
@@ -223,11 +224,11 @@
 	in := await(t, e[0].calls, "call")
 	list := instances(e[0])
 	list[0].Lifecycle = "removed"
-	p.set(func() { p.list = List{Generation: 2, Instances: list} })
+	p.set(func() { p.list = discovery.List{Generation: 2, Instances: list} })
 	taken(t, p, 2)
 	c.put("b", "unsafe", "+OK") // waits
 	e[0].none(t)
-	p.set(func() { p.list = List{Generation: 3, Instances: instances(e[0])} })
+	p.set(func() { p.list = discovery.List{Generation: 3, Instances: instances(e[0])} })
 	second := await(t, e[0].calls, "call of what waited")
 	in.reply(200)
 	second.reply(200)
@@ -253,7 +254,7 @@
 // SIGHUP while a sender stops: what it still owes goes to the new address, and it ends in good order.
 func TestHangupCrossesTerm(t *testing.T) {
 	p, q, e, dir := newPlatform(t), newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	known := discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
 	p.list, q.list = known, known
 	x := startProcess(t, p, dir, known)
 	c := dial(t, x.addr)
@@ -282,7 +283,7 @@
 // calls are spread.
 func TestTakeoverWatchesAtOnce(t *testing.T) {
 	p := newPlatform(t)
-	text := strings.Replace(string(configText(p, List{})), `"balancers":1,`, `"balancers":300,`, 1)
+	text := strings.Replace(string(configText(p, discovery.List{})), `"balancers":1,`, `"balancers":300,`, 1)
 	cfg, err := ParseConfig([]byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -293,8 +294,11 @@
 		t.Fatal(err)
 	}
 	defer n.close()
+	start := recordStart(n)
 	n.adopt(t.Context(), &legacy{parcel: parcel{At: time.Now().UnixMicro(), IDs: map[string]logic.EndpointID{}}})
-	n.disc.first = time.Hour // the spread, were there one
+	if !start.restart { // else the client would spread its first call
+		t.Error("the watch begins as at a first start")
+	}
 	n.listen(t.Context())
 	await(t, p.asked, "call for the list")
 	await(t, n.events, "its answer") // the watch ends with the test
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -18,6 +18,7 @@
 	"syscall"
 	"time"
 
+	"crossdeal/internal/discovery"
 	"crossdeal/logic"
 )
 
@@ -282,10 +283,15 @@
 // going first and idle connections last.
 func (n *Node) pack() (*parcel, *handConns, []net.Conn) {
 	p := &parcel{At: time.Now().UnixMicro(), Clock: micros(time.Since(n.start)), Module: n.sender.Save(),
-		Discovery: n.disc.address(), Generation: n.generation, IDs: n.dir.ids, Targets: map[logic.EndpointID]parcelTarget{},
+		Discovery: n.disc.Address(), Generation: n.generation, IDs: map[string]logic.EndpointID{}, Targets: map[logic.EndpointID]parcelTarget{},
 		Recent: map[string]int64{}}
-	for id, t := range n.dir.eps {
-		p.Targets[id] = parcelTarget{t.addr, t.zone, t.kind, t.dest}
+	for name, id := range n.dir.Names() {
+		p.IDs[name] = id
+	}
+	for _, id := range p.IDs {
+		if t, ok := n.dir.Target(id); ok {
+			p.Targets[id] = parcelTarget{t.Addr, t.Zone, t.Kind, t.Dest}
+		}
 	}
 	for id, t := range n.recent {
 		p.Recent[id] = t.UnixMicro()
@@ -546,14 +552,15 @@
 // adopt goes on with what another process has handed over.
 func (n *Node) adopt(work context.Context, l *legacy) {
 	n.start = time.Now().Add(-span(l.Clock) - max(time.Since(time.UnixMicro(l.At)), 0))
-	n.disc.back = true // this is no first start: the watch goes on at once
-	n.dir.adopt(l.IDs)
-	for id, t := range l.Targets {
-		n.dir.eps[id] = target{t.Addr, t.Zone, t.Dest, t.Kind}
+	for name, id := range l.IDs {
+		t := l.Targets[id]
+		n.dir.Adopt(name, id, discovery.Target{Addr: t.Addr, Zone: t.Zone, Dest: t.Dest, Kind: t.Kind})
 	}
-	if l.Discovery == n.disc.address() && l.Generation != 0 {
-		n.generation, n.disc.gen, n.disc.started = l.Generation, l.Generation, true
+	known := int64(-1)
+	if l.Discovery == n.disc.Address() && l.Generation != 0 {
+		known, n.generation = l.Generation, l.Generation
 	}
+	n.disc.Begin(known, true) // this is no first start: the watch goes on at once
 	for id, t := range l.Recent {
 		n.recent[id] = time.UnixMicro(t)
 	}
@@ -582,7 +589,7 @@
 			conns = conns[1:]
 			continue
 		}
-		h.call = &call{id: x.ID, attempt: x.Attempt, ep: x.Endpoint, addr: n.dir.eps[x.Endpoint].addr,
+		h.call = &call{id: x.ID, attempt: x.Attempt, ep: x.Endpoint, addr: n.target(x.Endpoint).Addr,
 			at: time.UnixMicro(x.At), giveUp: time.Duration(x.By-x.At) * time.Microsecond,
 			request: &http.Request{Method: http.MethodPost}, state: new(atomic.Int32)}
 		h.call.state.Store(callSent)
@@ -596,7 +603,7 @@
 	}
 	for _, x := range l.Idle {
 		if conn := conns[0]; conn != nil {
-			kept := newIdleConn(conn, n.dir.eps[x.Endpoint].addr)
+			kept := newIdleConn(conn, n.target(x.Endpoint).Addr)
 			if !n.caller.put(x.Endpoint, kept) {
 				conn.Close()
 			}
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -8,13 +8,15 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"crossdeal/internal/discovery"
 )
 
 // upgradeWorld is a sender with one endpoint, as a process.
-func upgradeWorld(t *testing.T) (p *platform, e *endpoint, dir string, known List, x *process) {
+func upgradeWorld(t *testing.T) (p *platform, e *endpoint, dir string, known discovery.List, x *process) {
 	t.Helper()
 	p, e, dir = newPlatform(t), newEndpoint(t), t.TempDir()
-	known = List{Generation: 1, Reset: true, Instances: instances(e)}
+	known = discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
 	p.list = known
 	return p, e, dir, known, startProcess(t, p, dir, known)
 }
@@ -24,9 +26,9 @@
 func TestUpgrade(t *testing.T) {
 	p, e, dir, known, old := upgradeWorld(t)
 	other := newEndpoint(t)
-	list := append(instances(e, other), Instance{ID: "s-w", HostPort: other.addr(), Zone: "a", Kind: "std", Dest: 2,
+	list := append(instances(e, other), discovery.Instance{ID: "s-w", HostPort: other.addr(), Zone: "a", Kind: "std", Dest: 2,
 		Lifecycle: "up", Weight: 100})
-	p.set(func() { p.list = List{Generation: 2, Reset: true, Instances: list} })
+	p.set(func() { p.list = discovery.List{Generation: 2, Reset: true, Instances: list} })
 	taken(t, p, 2)
 	wantAnswer(t, old.door, "disable-server s-1", "ok")
 	c := dial(t, old.addr)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -15,6 +15,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"crossdeal/internal/discovery"
 )
 
 // patience bounds every wait for an event: it is not reached unless a test fails.
@@ -149,7 +151,7 @@
 	asked   chan string // each call for the list
 	refused chan int    // each notice turned away: the number of lines
 	mu      sync.Mutex
-	list    List
+	list    discovery.List
 	news    chan struct{} // closed when the list changes
 	down    bool          // answers 503 to all
 	silent  bool          // never answers a call for the list
@@ -246,10 +248,10 @@
 }
 
 // instances lists endpoints of destination 1.
-func instances(eps ...*endpoint) []Instance {
-	var out []Instance
+func instances(eps ...*endpoint) []discovery.Instance {
+	var out []discovery.Instance
 	for i, e := range eps {
-		out = append(out, Instance{ID: fmt.Sprintf("s-%d", i), HostPort: e.addr(), Zone: "a", Kind: "std", Dest: 1,
+		out = append(out, discovery.Instance{ID: fmt.Sprintf("s-%d", i), HostPort: e.addr(), Zone: "a", Kind: "std", Dest: 1,
 			Lifecycle: "up", Weight: 100})
 	}
 	return out
@@ -270,7 +272,7 @@
 "specifics":{"batch_by_kind":[1],"call_slots":6,"late":"halves","separate_routes":[false]}}`
 
 // configText is a configuration file.
-func configText(p *platform, known List) []byte {
+func configText(p *platform, known discovery.List) []byte {
 	b, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0",
 		"discovery": strings.TrimPrefix(p.srv.URL, "http://"), "seed": "1f",
 		"limits": Limits{Cores: 1, MemoryMB: 192, Sockets: 256, DiskMB: 3}, "known": known,
@@ -289,7 +291,7 @@
 	done chan error
 }
 
-func startNode(t *testing.T, p *platform, dir string, known List, with ...func(*Node)) *testNode {
+func startNode(t *testing.T, p *platform, dir string, known discovery.List, with ...func(*Node)) *testNode {
 	t.Helper()
 	cfg, err := ParseConfig(configText(p, known))
 	if err != nil {
@@ -384,7 +386,7 @@
 	for range endpoints {
 		eps = append(eps, newEndpoint(t))
 	}
-	known := List{Generation: 1, Reset: true, Instances: instances(eps...)}
+	known := discovery.List{Generation: 1, Reset: true, Instances: instances(eps...)}
 	p.list = known
 	n := startNode(t, p, t.TempDir(), known, with...)
 	return n, dial(t, n.addr), p, eps
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"crossdeal/internal/discovery"
 	"crossdeal/logic"
 )
 
@@ -62,6 +63,15 @@
 	aside *idleConn               // its connection, once it is set aside for another process
 }
 
+// watcher watches the list and sends a discovery.Event for what it learns.
+type watcher interface {
+	Begin(generation int64, restart bool)
+	Watch(ctx context.Context)
+	Move(addr string)
+	IsMoved() bool
+	Address() string
+}
+
 // Node is one sender.
 type Node struct {
 	cfg     *Config
@@ -69,8 +79,8 @@
 	journal *Journal
 	sender  *logic.Sender
 	caller  *caller
-	dir     *directory
-	disc    *discovery
+	dir     *discovery.Directory
+	disc    watcher
 	notices *notices
 	clients *clients
 	door    *door // nil where no operator address is given
@@ -104,8 +114,8 @@
 		log.Warn("configuration", "err", doubt)
 	}
 	set := &cfg.Deploy.Settings
-	if set.Senders >= apartFrom { // with pauses between its calls for the list
-		set.ListAge = micros(listAge) + set.DrainGrace
+	if set.Senders >= discovery.SpreadFrom { // with pauses between its calls for the list
+		set.ListAge = micros(discovery.ListAge) + set.DrainGrace
 	}
 	sender, err := logic.New(*set, cfg.Seed)
 	if err != nil {
@@ -115,10 +125,10 @@
 	if sockets <= 0 {
 		sockets = 1024
 	}
-	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, heirs: make(chan heir), moves: make(chan struct{}, 1), writes: make(chan leave), dir: newDirectory(cfg),
+	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, heirs: make(chan heir), moves: make(chan struct{}, 1), writes: make(chan leave), dir: discovery.NewDirectory(cfg.Deploy.Zones, set.Kinds),
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
 		events: make(chan any, eventRoom), orders: make(chan order), ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
-	n.disc = newDiscovery(cfg.Discovery, set.Senders, span(set.DrainGrace), cfg.Seed, log, n.events)
+	n.disc = n.discoveryClient()
 	n.notices = newNotices(cfg.Discovery, log, n.events)
 	n.clients = newClients(cfg, log, n.events)
 	if cfg.Operator != "" {
@@ -144,6 +154,19 @@
 	return err
 }
 
+// discoveryClient is the client that watches the list for this sender.
+func (n *Node) discoveryClient() *discovery.Client {
+	set := &n.cfg.Deploy.Settings
+	return discovery.NewClient(discovery.Config{Addr: n.cfg.Discovery, Senders: set.Senders, Grace: span(set.DrainGrace),
+		Seed: n.cfg.Seed, Directory: n.dir, Log: n.log}, n.events)
+}
+
+// target is where an endpoint can be reached; without an address if it never had one.
+func (n *Node) target(ep logic.EndpointID) discovery.Target {
+	t, _ := n.dir.Target(ep)
+	return t
+}
+
 func (n *Node) openJournal() (*Journal, error) {
 	return OpenJournal(n.cfg.StateDir, int64(n.cfg.Limits.DiskMB*1e6))
 }
@@ -151,7 +174,7 @@
 // Move takes another address of discovery, for the list and for notices. It may be called at any time.
 func (n *Node) Move(addr string) {
 	n.log.Info("discovery has moved", "addr", addr)
-	n.disc.move(addr)
+	n.disc.Move(addr)
 	n.notices.move(addr)
 	select {
 	case n.moves <- struct{}{}:
@@ -409,7 +432,7 @@
 }
 
 func (n *Node) sendRecord(id string, ep logic.EndpointID) record {
-	return record{Op: opSend, ID: id, At: time.Now().UnixMicro(), Zone: n.dir.eps[ep].zone}
+	return record{Op: opSend, ID: id, At: time.Now().UnixMicro(), Zone: n.target(ep).Zone}
 }
 
 // askLeave asks the loop whether a call may be written, until ctx is over.
@@ -434,13 +457,15 @@
 // resume hands the module what the journal holds, with what became of it so far. At a restart, also one with nothing
 // in its journal, what changed meanwhile is not in the list of the configuration.
 func (n *Node) resume() {
-	n.disc.back = n.again
+	known := int64(-1)
 	if n.cfg.Known.Generation != 0 || len(n.cfg.Known.Instances) > 0 {
-		n.generation, n.disc.gen, n.disc.started = n.cfg.Known.Generation, n.cfg.Known.Generation, true
-		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.take(n.cfg.Known), Old: n.again})
+		known, n.generation = n.cfg.Known.Generation, n.cfg.Known.Generation
+		u := n.dir.Reduce(n.cfg.Known)
+		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.Apply(&u, time.Now()), Old: n.again})
 	}
+	n.disc.Begin(known, n.again)
 	for _, id := range n.journal.TakenOut() {
-		n.next = append(n.next, logic.TakeOut{Endpoint: n.dir.number(id)})
+		n.next = append(n.next, logic.TakeOut{Endpoint: n.dir.Number(id)})
 	}
 	now := time.Now().UnixMicro()
 	for _, e := range n.journal.Entries() {
@@ -490,7 +515,7 @@
 		n.reply(ev)
 	case healthEvent:
 		n.next = append(n.next, logic.HealthResult{Endpoint: ev.ep, Outcome: ev.outcome})
-	case listEvent:
+	case discovery.Event:
 		n.list(ev)
 	case logic.Due:
 		n.next = append(n.next, ev)
@@ -548,38 +573,40 @@
 	return fmt.Sprintf("-BUSY %d\r\n", (after+999)/1000)
 }
 
-func (n *Node) list(ev listEvent) {
-	if ev.err != nil {
+func (n *Node) list(ev discovery.Event) {
+	if ev.Err != nil {
 		n.watching = false
 		n.next = append(n.next, logic.Endpoints{Form: logic.ListFailed})
-		if n.disc.isMoved() { // meanwhile, so the failure was not the new address's
+		if n.disc.IsMoved() { // meanwhile, so the failure was not the new address's
 			n.next = append(n.next, logic.Moved{})
 		}
 		return
 	}
-	if ev.watched {
+	if ev.Watched {
 		n.next = append(n.next, logic.Endpoints{Form: logic.ListWatched})
 		return
 	}
-	form := logic.ListDelta
-	if ev.list.Reset {
+	u, form := &ev.Update, logic.ListDelta
+	if u.Whole {
 		form = logic.ListFull
 	}
-	n.generation = ev.list.Generation
-	bad := n.dir.unusable
-	rows := n.dir.take(ev.list)
-	if bad = n.dir.unusable - bad; bad > 0 {
-		n.log.Warn("list", "generation", ev.list.Generation, "entries that make no sense", bad)
+	n.generation = u.Generation
+	rows := n.dir.Apply(u, time.Now())
+	if ev.Done != nil {
+		ev.Done()
+	}
+	if u.Unusable > 0 {
+		n.log.Warn("list", "generation", u.Generation, "entries that make no sense", u.Unusable)
 	}
 	if len(rows) > 0 {
-		n.log.Info("list", "generation", ev.list.Generation, "whole", ev.list.Reset, "entries", len(rows))
+		n.log.Info("list", "generation", u.Generation, "whole", u.Whole, "entries", len(rows))
 	}
 	n.hold(func(ep logic.EndpointID) bool {
 		i := slices.IndexFunc(rows, func(row logic.Entry) bool { return row.Endpoint == ep })
-		return i >= 0 && rows[i].State != logic.Ready || i < 0 && ev.list.Reset
+		return i >= 0 && rows[i].State != logic.Ready || i < 0 && u.Whole
 	})
 	for _, h := range n.held { // what connects to where the endpoint was
-		if h.stop != nil && (h.call.addr != n.dir.eps[h.call.ep].addr || h.call.dest != n.dir.eps[h.call.ep].dest) {
+		if h.stop != nil && (h.call.addr != n.target(h.call.ep).Addr || h.call.dest != n.target(h.call.ep).Dest) {
 			h.hold()
 		}
 	}
@@ -665,7 +692,7 @@
 // forget drops ids that nobody can hand in any more, and endpoints that are gone.
 func (n *Node) forget() {
 	now := time.Now()
-	n.dir.forget(now, func(name string, id logic.EndpointID) bool {
+	n.dir.Forget(now, func(name string, id logic.EndpointID) bool {
 		if n.journal.out[name] {
 			return true
 		}
@@ -704,7 +731,7 @@
 	for _, a := range actions {
 		switch a := a.(type) {
 		case logic.CallOut:
-			if conn := n.caller.take(a.Endpoint, n.dir.eps[a.Endpoint].addr); conn != nil {
+			if conn := n.caller.take(a.Endpoint, n.target(a.Endpoint).Addr); conn != nil {
 				kept[a.ID] = conn
 				n.records = append(n.records, n.sendRecord(a.ID, a.Endpoint))
 			} else {
@@ -816,7 +843,7 @@
 func (n *Node) listen(work context.Context) {
 	if !n.watching {
 		n.watching = true
-		go n.disc.watch(work)
+		go n.disc.Watch(work)
 	}
 }
 
@@ -832,8 +859,8 @@
 	}
 	attempt := h.tries
 	h.tries++
-	to := n.dir.eps[a.Endpoint]
-	in := &call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.addr, dest: to.dest, giveUp: span(a.GiveUp),
+	to := n.target(a.Endpoint)
+	in := &call{id: a.ID, attempt: attempt, ep: a.Endpoint, addr: to.Addr, dest: to.Dest, giveUp: span(a.GiveUp),
 		state: new(atomic.Int32), kept: kept}
 	in.allow = func(ctx context.Context) bool { return n.askLeave(ctx, in) }
 	if e := n.journal.Entry(a.ID); e != nil && e.MayRun { // a repeat: by the end of the window it must be written
@@ -844,7 +871,7 @@
 	ctx, stop := context.WithCancelCause(work)
 	h.stop, h.call = stop, in
 	var err error
-	if in.request, err = deliverRequest(h.msg, to.addr, in.giveUp); err != nil || !written {
+	if in.request, err = deliverRequest(h.msg, to.Addr, in.giveUp); err != nil || !written {
 		if err != nil {
 			n.log.Error("call", "err", err)
 			if written && kept != nil {
@@ -880,14 +907,14 @@
 
 // holdWait holds calls to where a wait was told: the destination, or the one route where routes are apart.
 func (n *Node) holdWait(ep logic.EndpointID) {
-	to := n.dir.eps[ep]
+	to := n.target(ep)
 	kinds := n.cfg.Deploy.Settings.Kinds
-	apart := to.kind >= 0 && to.kind < len(kinds) && kinds[to.kind].Apart
-	n.hold(func(x logic.EndpointID) bool { return x == ep || !apart && n.dir.eps[x].dest == to.dest })
+	apart := to.Kind >= 0 && to.Kind < len(kinds) && kinds[to.Kind].Apart
+	n.hold(func(x logic.EndpointID) bool { return x == ep || !apart && n.target(x).Dest == to.Dest })
 }
 
 func (n *Node) probe(work context.Context, ep logic.EndpointID) {
-	addr := n.dir.eps[ep].addr
+	addr := n.target(ep).Addr
 	go func() {
 		out := logic.RefusedConn
 		if req, err := probeRequest(addr); err == nil {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"crossdeal/internal/discovery"
 	"crossdeal/logic"
 )
 
@@ -89,7 +90,7 @@
 // The hold has a limit; what comes above it is turned away, and so is what the journal has no room for.
 func TestDoor(t *testing.T) {
 	p := newPlatform(t)
-	cfg, err := ParseConfig(configText(p, List{}))
+	cfg, err := ParseConfig(configText(p, discovery.List{}))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -274,7 +275,7 @@
 	n, c, p, e := world(t, 2)
 	list := instances(e...)
 	list[0].Lifecycle = "draining"
-	p.set(func() { p.list = List{Generation: 2, Instances: list[:1]} })
+	p.set(func() { p.list = discovery.List{Generation: 2, Instances: list[:1]} })
 	taken(t, p, 2)
 	for i := range 4 {
 		c.put(fmt.Sprint("m", i), "safe", "+OK")
@@ -283,7 +284,7 @@
 	e[0].none(t)
 	moved := newEndpoint(t)
 	list[1].HostPort = moved.addr()
-	p.set(func() { p.list = List{Generation: 3, Instances: list[1:]} })
+	p.set(func() { p.list = discovery.List{Generation: 3, Instances: list[1:]} })
 	taken(t, p, 3)
 	c.put("m", "safe", "+OK")
 	await(t, moved.calls, "call").reply(200)
@@ -295,7 +296,7 @@
 func TestPushedList(t *testing.T) {
 	p := newPlatform(t)
 	e := []*endpoint{newEndpoint(t), newEndpoint(t)}
-	known := List{Generation: 1, Reset: true, Instances: instances(e...)}
+	known := discovery.List{Generation: 1, Reset: true, Instances: instances(e...)}
 	p.list = known
 	text := strings.Replace(string(configText(p, known)), `"on_request"`, `"push"`, 1)
 	cfg, err := ParseConfig([]byte(text))
@@ -309,7 +310,7 @@
 	taken(t, p, 1)
 	list := instances(e...)
 	list[0].Lifecycle = "draining"
-	p.set(func() { p.list = List{Generation: 2, Instances: list[:1]} })
+	p.set(func() { p.list = discovery.List{Generation: 2, Instances: list[:1]} })
 	taken(t, p, 2)
 	c := dial(t, n.addr)
 	for i := range 4 {
@@ -325,14 +326,16 @@
 	p := newPlatform(t)
 	p.down = true
 	e := newEndpoint(t)
-	n := startNode(t, p, t.TempDir(), List{Generation: 1, Reset: true, Instances: instances(e)})
+	n := startNode(t, p, t.TempDir(), discovery.List{Generation: 1, Reset: true, Instances: instances(e)})
 	c := dial(t, n.addr)
 	c.put("a", "safe", "+OK")
 	await(t, e.calls, "call").reply(200)
 	taken(t, p, 1)
 	taken(t, p, 1)
 	moved := newEndpoint(t)
-	p.set(func() { p.down, p.list = false, List{Generation: 2, Reset: true, Instances: instances(moved)} })
+	p.set(func() {
+		p.down, p.list = false, discovery.List{Generation: 2, Reset: true, Instances: instances(moved)}
+	})
 	taken(t, p, 2)
 	c.put("b", "safe", "+OK")
 	await(t, moved.calls, "call").reply(200)
@@ -343,8 +346,8 @@
 func TestListCutShort(t *testing.T) {
 	p := newPlatform(t)
 	e, moved := newEndpoint(t), newEndpoint(t)
-	p.cut, p.list = true, List{Generation: 2, Reset: true, Instances: instances(moved, moved)}
-	n := startNode(t, p, t.TempDir(), List{Generation: 1, Reset: true, Instances: instances(e)})
+	p.cut, p.list = true, discovery.List{Generation: 2, Reset: true, Instances: instances(moved, moved)}
+	n := startNode(t, p, t.TempDir(), discovery.List{Generation: 1, Reset: true, Instances: instances(e)})
 	c := dial(t, n.addr)
 	await(t, p.asked, "call for the list")
 	await(t, p.asked, "second call for the list")
@@ -362,8 +365,8 @@
 func TestNonsenseInConfiguration(t *testing.T) {
 	p := newPlatform(t)
 	e := newEndpoint(t)
-	p.list = List{Generation: 2, Reset: true, Instances: instances(e)}
-	whole := string(configText(p, List{Generation: 1, Reset: true, Instances: instances(e)}))
+	p.list = discovery.List{Generation: 2, Reset: true, Instances: instances(e)}
+	whole := string(configText(p, discovery.List{Generation: 1, Reset: true, Instances: instances(e)}))
 	seeds := map[uint64]bool{}
 	for _, x := range []struct{ old, with, line string }{
 		{`"balancers":1`, `"balancers":0`, "Senders of 0"}, {`"balancers":1`, `"balancers":"eighty"`, "balancers"},
@@ -417,7 +420,7 @@
 	p := newPlatform(t)
 	p.silent = true
 	e := newEndpoint(t)
-	n := startNode(t, p, t.TempDir(), List{Generation: 1, Reset: true, Instances: instances(e)})
+	n := startNode(t, p, t.TempDir(), discovery.List{Generation: 1, Reset: true, Instances: instances(e)})
 	await(t, p.asked, "call for the list")
 	dial(t, n.addr).put("a", "safe", "+OK")
 	await(t, e.calls, "call").reply(200)
@@ -609,22 +612,22 @@
 		{"wait, one limit", false, func(n *Node) { n.holdWait(1) }, [4]bool{true, true, false, false}},
 		{"wait, routes apart", true, func(n *Node) { n.holdWait(1) }, [4]bool{true, false, false, false}},
 		{"drain", false, func(n *Node) {
-			n.list(listEvent{list: List{Instances: []Instance{{ID: "b", Dest: 1, Lifecycle: "draining"}}}})
+			learn(n, discovery.List{Instances: []discovery.Instance{{ID: "b", Dest: 1, Lifecycle: "draining"}}})
 		}, [4]bool{false, true, false, false}},
 		{"whole list", false, func(n *Node) {
-			n.list(listEvent{list: List{Reset: true, Instances: []Instance{{ID: "a", Dest: 1, Lifecycle: "up"}}}})
+			learn(n, discovery.List{Reset: true, Instances: []discovery.Instance{{ID: "a", Dest: 1, Lifecycle: "up"}}})
 		}, [4]bool{false, true, true, false}},
 		{"another address", false, func(n *Node) {
-			n.list(listEvent{list: List{Instances: []Instance{{ID: "b", HostPort: "h:9", Dest: 1, Lifecycle: "up"}}}})
+			learn(n, discovery.List{Instances: []discovery.Instance{{ID: "b", HostPort: "h:9", Dest: 1, Lifecycle: "up"}}})
 		}, [4]bool{false, true, false, false}},
 		{"another destination", false, func(n *Node) {
-			n.list(listEvent{list: List{Instances: []Instance{{ID: "c", HostPort: "h:3", Dest: 1, Lifecycle: "up"}}}})
+			learn(n, discovery.List{Instances: []discovery.Instance{{ID: "c", HostPort: "h:3", Dest: 1, Lifecycle: "up"}}})
 		}, [4]bool{false, false, true, false}},
 		{"as before", false, func(n *Node) {
-			n.list(listEvent{list: List{Instances: []Instance{{ID: "c", HostPort: "h:3", Dest: 2, Lifecycle: "up"}}}})
+			learn(n, discovery.List{Instances: []discovery.Instance{{ID: "c", HostPort: "h:3", Dest: 2, Lifecycle: "up"}}})
 		}, [4]bool{false, false, false, false}},
 	} {
-		cfg, err := ParseConfig(configText(newPlatform(t), List{}))
+		cfg, err := ParseConfig(configText(newPlatform(t), discovery.List{}))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -635,12 +638,12 @@
 			t.Fatal(err)
 		}
 		defer n.journal.Close()
-		n.dir.take(List{Instances: []Instance{{ID: "a", HostPort: "h:1", Kind: "std", Dest: 1},
+		learn(n, discovery.List{Instances: []discovery.Instance{{ID: "a", HostPort: "h:1", Kind: "std", Dest: 1},
 			{ID: "b", HostPort: "h:2", Kind: "std", Dest: 1}, {ID: "c", HostPort: "h:3", Kind: "std", Dest: 2}}})
 		var calls []*call
 		for i, ep := range []logic.EndpointID{1, 2, 3, 1} {
-			to := n.dir.eps[ep]
-			calls = append(calls, &call{ep: ep, addr: to.addr, dest: to.dest, state: new(atomic.Int32)})
+			to := n.target(ep)
+			calls = append(calls, &call{ep: ep, addr: to.Addr, dest: to.Dest, state: new(atomic.Int32)})
 			n.held[fmt.Sprint("m", i)] = &held{call: calls[i], stop: func(error) {}}
 		}
 		calls[3].state.Store(callWritten)
@@ -666,7 +669,7 @@
 // The module hears the load that an answer reports, each field in its place; what makes no sense is left out.
 func TestLoadReports(t *testing.T) {
 	p := newPlatform(t)
-	text := strings.Replace(string(configText(p, List{})), `{"how":"off","names":[]}`, `{"how":"answers","names":["x0","x1"]}`, 1)
+	text := strings.Replace(string(configText(p, discovery.List{})), `{"how":"off","names":[]}`, `{"how":"answers","names":["x0","x1"]}`, 1)
 	cfg, err := ParseConfig([]byte(text))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -268,7 +268,7 @@
 // obey carries out an operator's word. It holds once it is in the journal, so that it outlives the process; the
 // module hears of it before anything else happens.
 func (n *Node) obey(o order) {
-	ep, known := n.dir.ids[o.id]
+	ep, known := n.dir.Lookup(o.id)
 	if !known {
 		o.answer <- errors.New("no such endpoint")
 		return
--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"crossdeal/internal/discovery"
 )
 
 // ask makes an operator's call and returns the whole answer.
@@ -38,7 +40,7 @@
 }
 
 // doorNode is a sender with an operators' door.
-func doorNode(t *testing.T, p *platform, dir string, known List) *testNode {
+func doorNode(t *testing.T, p *platform, dir string, known discovery.List) *testNode {
 	t.Helper()
 	cfg, err := ParseConfig(configText(p, known))
 	if err != nil {
@@ -53,7 +55,7 @@
 func TestOperatorTakesOut(t *testing.T) {
 	p, dir := newPlatform(t), t.TempDir()
 	a, b := newEndpoint(t), newEndpoint(t)
-	known := List{Generation: 1, Reset: true, Instances: instances(a, b)}
+	known := discovery.List{Generation: 1, Reset: true, Instances: instances(a, b)}
 	p.list = known
 	n := doorNode(t, p, dir, known)
 	c := dial(t, n.addr)
@@ -70,7 +72,7 @@
 	wantAnswer(t, door, "disable-server s-0", "ok")
 	round(c, "out")
 	wantAnswer(t, door, "disable-server s-0", "ok") // no second call back will be needed
-	for i, list := range []List{{Reset: true, Instances: instances(a, b)}, {Instances: []Instance{{ID: "s-0", Dest: 1, Lifecycle: "removed"}}},
+	for i, list := range []discovery.List{{Reset: true, Instances: instances(a, b)}, {Instances: []discovery.Instance{{ID: "s-0", Dest: 1, Lifecycle: "removed"}}},
 		{Instances: instances(a)}} {
 		list.Generation = int64(2 + i)
 		p.set(func() { p.list = list })
@@ -96,7 +98,7 @@
 // Wrong calls get a reason, and callers that are silent or stop midway keep nobody out.
 func TestOperatorBadCalls(t *testing.T) {
 	p, e := newPlatform(t), newEndpoint(t)
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	known := discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
 	p.list = known
 	n := doorNode(t, p, t.TempDir(), known)
 	door := n.door.address().String()
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -10,6 +10,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"crossdeal/internal/discovery"
 )
 
 // program is built once for all tests.
@@ -43,13 +45,13 @@
 }
 
 // startProcess starts it with what the platform would tell it and waits until it is ready.
-func startProcess(t *testing.T, p *platform, dir string, known List) *process {
+func startProcess(t *testing.T, p *platform, dir string, known discovery.List) *process {
 	t.Helper()
 	return startAt(t, p, dir, known, "127.0.0.1:0")
 }
 
 // startAt starts it with an address for clients, which another process of the sender may have.
-func startAt(t *testing.T, p *platform, dir string, known List, listen string) *process {
+func startAt(t *testing.T, p *platform, dir string, known discovery.List, listen string) *process {
 	t.Helper()
 	path, err := program()
 	if err != nil {
@@ -112,7 +114,7 @@
 // where that is harmless, and must not where it is not.
 func TestKillWithCallOut(t *testing.T) {
 	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	known := discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
 	p.list = known
 	x := startProcess(t, p, dir, known)
 	c := dial(t, x.addr)
@@ -145,7 +147,7 @@
 // Attempts before a crash count: a message that brings the process down each time must not come for ever.
 func TestKillCountsAttempts(t *testing.T) {
 	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	known := discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
 	p.list = known
 	for i := range 3 { // max_attempts
 		x := startProcess(t, p, dir, known)
@@ -168,7 +170,7 @@
 // meanwhile is returned, and a notice that nobody confirmed is sent again.
 func TestKillWithoutCallOut(t *testing.T) {
 	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	known := discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
 	p.list, p.deaf = known, true
 	x := startProcess(t, p, dir, known)
 	c := dial(t, x.addr)
@@ -227,7 +229,7 @@
 		t.Run(class, func(t *testing.T) {
 			t.Parallel()
 			p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-			known := List{Generation: 1, Reset: true, Instances: instances(e)}
+			known := discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
 			p.list = known
 			x := startProcess(t, p, dir, known)
 			c := dial(t, x.addr)
@@ -252,7 +254,7 @@
 // A call that does not end must not keep the program from ending in time; it stays in the journal as open.
 func TestTermWithSilentCall(t *testing.T) {
 	p, e, dir := newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 1, Reset: true, Instances: instances(e)}
+	known := discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
 	p.list = known
 	x := startProcess(t, p, dir, known)
 	dial(t, x.addr).put("a", "unsafe", "+OK")
@@ -276,12 +278,12 @@
 // The platform moves discovery: list and notices follow to the address in the file, and the program goes on.
 func TestHangupMovesDiscovery(t *testing.T) {
 	p, q, e, dir := newPlatform(t), newPlatform(t), newEndpoint(t), t.TempDir()
-	known := List{Generation: 7, Reset: true, Instances: instances(e)}
+	known := discovery.List{Generation: 7, Reset: true, Instances: instances(e)}
 	p.list = known
 	x := startProcess(t, p, dir, known)
 	taken(t, p, 7)
 	moved := newEndpoint(t)
-	q.list = List{Generation: 3, Reset: true, Instances: instances(moved)} // versions of its own
+	q.list = discovery.List{Generation: 3, Reset: true, Instances: instances(moved)} // versions of its own
 	if err := os.WriteFile(x.config, configText(q, known), 0o600); err != nil {
 		t.Fatal(err)
 	}
