--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -1,17 +1,16 @@
 package node
 
 import (
-	"bufio"
-	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/crc32"
 	"io"
 	"maps"
 	"os"
 	"path/filepath"
 	"slices"
+
+	"crossdeal/internal/wal"
 )
 
 // Message is a message as a client handed it in.
@@ -76,7 +75,6 @@
 
 const (
 	journalName = "journal"
-	headerLen   = 8 // length and CRC-32 of what follows
 	maxRecord   = 1 << 20
 	// acceptPart is the part of a file that entries may fill before new messages are turned away: the rest is
 	// room for what becomes of those already taken on.
@@ -130,18 +128,10 @@
 
 // replay reads records up to the first that is not whole and cuts off the rest.
 func (j *Journal) replay(f *os.File) error {
-	r := bufio.NewReaderSize(f, 1<<16)
+	r := wal.NewReader(f, maxRecord)
 	for {
-		var head [headerLen]byte
-		if _, err := io.ReadFull(r, head[:]); err != nil {
-			break
-		}
-		n := binary.LittleEndian.Uint32(head[:4])
-		if n == 0 || n > maxRecord {
-			break
-		}
-		body := make([]byte, n)
-		if _, err := io.ReadFull(r, body); err != nil || crc32.ChecksumIEEE(body) != binary.LittleEndian.Uint32(head[4:]) {
+		body, err := r.Next()
+		if err != nil {
 			break
 		}
 		var rec record
@@ -149,7 +139,7 @@
 			break
 		}
 		j.apply(rec)
-		j.size += headerLen + int64(n)
+		j.size = r.Whole()
 	}
 	info, err := f.Stat()
 	if err != nil {
@@ -279,9 +269,7 @@
 	if len(body) > maxRecord {
 		return b, fmt.Errorf("record of %d bytes", len(body))
 	}
-	b = binary.LittleEndian.AppendUint32(b, uint32(len(body)))
-	b = binary.LittleEndian.AppendUint32(b, crc32.ChecksumIEEE(body))
-	return append(b, body...), nil
+	return wal.Append(b, body), nil
 }
 
 // Compact rewrites the journal with what is still owed. The old file stands until
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"path/filepath"
 	"testing"
+
+	"crossdeal/internal/wal"
 )
 
 func openJournal(t *testing.T, dir string, bytes int64) *Journal {
@@ -119,7 +121,7 @@
 	dir := t.TempDir()
 	j := openJournal(t, dir, 3e6)
 	mustAppend(t, j, accept("a", 10))
-	at := j.size + headerLen
+	at := j.size + wal.HeaderLen
 	mustAppend(t, j, accept("b", 10), accept("c", 10))
 	if _, err := j.file.WriteAt([]byte{0}, at); err != nil {
 		t.Fatal(err)
@@ -220,3 +222,46 @@
 		}
 	}
 }
+
+// A folder outlives the program: a journal of earlier versions is read, and what is appended and rewritten has the
+// form they read, to the byte.
+func TestJournalForm(t *testing.T) {
+	const appended = "N\x00\x00\x00|\xd1pr{\"op\":1,\"entry\":{\"id\":\"a\",\"class\":\"safe\",\"dest\":1,\"deadline\":1,\"body\":\"YmJi\"}}" +
+		"'\x00\x00\x00\xd6\xccS\x14{\"op\":2,\"id\":\"a\",\"at\":1234567,\"zone\":1}" +
+		"\x13\x00\x00\x00\xde@\x1dK{\"op\":7,\"id\":\"s-1\"}" +
+		"N\x00\x00\x00i\xe6\xbb\x17{\"op\":1,\"entry\":{\"id\":\"b\",\"class\":\"safe\",\"dest\":1,\"deadline\":1,\"body\":\"YmI=\"}}" +
+		" \x00\x00\x00P\xa2\x1dy{\"op\":3,\"id\":\"a\",\"may_run\":true}" +
+		"C\x00\x00\x00!z\xc9\v{\"op\":5,\"id\":\"b\",\"notice\":{\"id\":\"b\",\"state\":\"failed\",\"after_ms\":5}}"
+	const rewritten = "\x13\x00\x00\x00\xde@\x1dK{\"op\":7,\"id\":\"s-1\"}" +
+		"\x84\x00\x00\x00\x92\xeeS\xe3{\"op\":1,\"entry\":{\"id\":\"a\",\"class\":\"safe\",\"dest\":1,\"deadline\":1,\"body\":\"YmJi\"," +
+		"\"tries\":1,\"may_run\":true,\"first_may\":1234567,\"zone\":1}}" +
+		"o\x00\x00\x00\xa6\xc9X\xc1{\"op\":1,\"entry\":{\"id\":\"b\",\"class\":\"safe\",\"dest\":1,\"deadline\":1," +
+		"\"end\":{\"id\":\"b\",\"state\":\"failed\",\"after_ms\":5}}}"
+	dir := t.TempDir()
+	is := func(want string) {
+		t.Helper()
+		if got, err := os.ReadFile(filepath.Join(dir, journalName)); err != nil || string(got) != want {
+			t.Fatalf("%v, file:\n%q\nwant:\n%q", err, got, want)
+		}
+	}
+	j := openJournal(t, dir, 3e6)
+	mustAppend(t, j, accept("a", 3), record{Op: opSend, ID: "a", At: 1234567, Zone: 1}, record{Op: opTakeOut, ID: "s-1"}, accept("b", 2))
+	mustAppend(t, j, record{Op: opOutcome, ID: "a", MayRun: true},
+		record{Op: opEnd, ID: "b", Notice: &Notice{ID: "b", State: "failed", AfterMS: 5}})
+	is(appended)
+
+	dir = t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, journalName), []byte(appended+"\x13\x00"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	j = openJournal(t, dir, 3e6)
+	is(appended)
+	if a, b := j.Entry("a"), j.Entry("b"); a == nil || b == nil || !a.MayRun || a.FirstMay != 1234567 || a.FirstZone != 1 ||
+		string(a.Body) != "bbb" || b.End == nil || b.End.AfterMS != 5 || fmt.Sprint(j.TakenOut()) != "[s-1]" || j.cut != 2 {
+		t.Errorf("a %+v, b %+v, taken out %v, %d bytes cut", a, b, j.TakenOut(), j.cut)
+	}
+	if err := j.Compact(); err != nil {
+		t.Fatal(err)
+	}
+	is(rewritten)
+}
