--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -132,6 +132,9 @@
 	for {
 		body, err := r.Next()
 		if err != nil {
+			if !errors.Is(err, io.EOF) && !errors.Is(err, wal.ErrTorn) {
+				return err // what could not be read may well be whole: it must not be cut off
+			}
 			break
 		}
 		var rec record
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -265,3 +265,25 @@
 	}
 	is(rewritten)
 }
+
+// A file that can't be read is not one that ends early: nothing is cut off.
+func TestJournalKeepsWhatCannotBeRead(t *testing.T) {
+	dir := t.TempDir()
+	mustAppend(t, openJournal(t, dir, 3e6), accept("a", 10))
+	path := filepath.Join(dir, journalName)
+	before, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := os.OpenFile(path, os.O_WRONLY, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	if err := (&Journal{}).replay(f); err == nil {
+		t.Error("no error")
+	}
+	if after, err := os.ReadFile(path); err != nil || !bytes.Equal(after, before) {
+		t.Errorf("%v, %d bytes of %d left", err, len(after), len(before))
+	}
+}
