Read a list row by row and tell the module only what it changes

Cause: an answer was held whole, decoded into a second copy and told to the module in full, so that a list costs what it holds even where nothing in it changed.

Change: the answer is decoded one row at a time (fields in any order, a value of 1 MiB at most) and compared with the directory while it is read. What goes on is the rows that differ, and for a whole list those that are gone, found by a mark for each number that was seen. The directory keeps compact records by number under a lock; only the loop changes it, and the next answer is compared once the last update is applied. The module gets a delta with the effect that the whole list had: the list counts as told then.

Bad rows (no name, no address for what is new, a negative destination, a number out of range, a field of a wrong kind) are counted and leave what they name as it was; of two rows with one id the last wins; a whole list of which no row makes sense is no list. Before, a field of a wrong kind made the whole answer unreadable for good.

Tests: the fixtures of three client tests get an address in their row, for a whole list without one is now no list; their events are acknowledged as the loop does. TestDirectoryForgetsWhatIsGone counts targets by the exported call.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -2,8 +2,8 @@
 package discovery
 
 import (
+	"bufio"
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -35,6 +35,7 @@
 	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing, or with nonsense
 	badMost    = 5                       // answers with nonsense, one after the other, until discovery is left alone for a while
 	maxList    = 4 << 20
+	readAhead  = 64 << 10 // bytes of an answer that are read at once
 )
 
 var (
@@ -78,6 +79,7 @@
 	begun   bool          // ... whether the first call has been made ...
 	busy    bool          // ... whether discovery is too busy for many senders that ask at once ...
 	started bool          // ... and whether there is such a list
+	applied chan struct{} // closed once the loop has applied the last update; nil before the first
 	wake    chan struct{} // ends a pause: discovery has moved
 	mu      sync.Mutex
 	base    string
@@ -153,7 +155,7 @@
 			err = d.sense(list)
 		}
 		if bad++; bad < badMost && (errors.Is(err, errUnreadable) || errors.Is(err, errOlder)) {
-			d.log.Warn("discovery, the list stays as it is", "err", err, "generation", list.Generation, "known", d.gen)
+			d.log.Warn("discovery, the list stays as it is", "err", err, "known", d.gen)
 			d.wait(ctx, emptyPause) // it has time, and what it has to tell counts as told
 			continue
 		}
@@ -163,20 +165,22 @@
 		if err != nil {
 			d.log.Warn("discovery", "err", err)
 			d.busy = d.busy || errors.Is(err, errUnavailable)
-			d.events <- Event{Err: err}
+			d.emit(ctx, Event{Err: err})
 			return
 		}
 		bad = 0
 		d.gen, d.started = list.Generation, true
 		pause, took := time.Duration(0), time.Since(at)
-		if direct || len(list.Instances) > 0 && took < prompt {
+		if direct || list.count > 0 && took < prompt {
 			d.busy = took >= prompt
 		}
-		d.events <- Event{Update: d.dir.Reduce(list), News: true, Done: func() {}}
+		applied := make(chan struct{})
+		d.applied = applied
+		d.emit(ctx, Event{Update: list.Update, News: true, Done: sync.OnceFunc(func() { close(applied) })})
 		switch {
-		case len(list.Instances) == 0 && took < emptyPause && !direct:
+		case len(list.Rows) == 0 && took < emptyPause && !direct:
 			pause = emptyPause
-		case d.busy && d.spread > 0 && (len(list.Instances) > 0 && took > busyAfter || len(list.Instances) == 0 && first):
+		case d.busy && d.spread > 0 && (list.count > 0 && took > busyAfter || list.count == 0 && first):
 			pause = d.spread*92/100 + time.Duration(d.rng.Int64N(int64(d.spread)*16/100))
 		}
 		d.wait(ctx, pause)
@@ -185,26 +189,26 @@
 
 // sense says what is wrong with a list, if anything is: changes where there is nothing to change yet, a whole list with
 // no word of instances, or a list that is older than what is known.
-func (d *Client) sense(list List) error {
+func (d *Client) sense(list *answer) error {
 	switch {
-	case !d.started && !list.Reset, list.Reset && list.Instances == nil:
+	case !d.started && !list.Whole, list.Whole && !list.listed:
 		return errUnreadable
 	case d.started && list.Generation < d.gen:
-		return errOlder
+		return fmt.Errorf("%w: generation %d", errOlder, list.Generation)
 	}
 	return nil
 }
 
 // await makes a call, and tells the loop if it is one that waits for news.
-func (d *Client) await(ctx context.Context, url string, limit time.Duration) (List, error) {
-	type answer struct {
-		list List
+func (d *Client) await(ctx context.Context, url string, limit time.Duration) (*answer, error) {
+	type result struct {
+		list *answer
 		err  error
 	}
-	answers := make(chan answer, 1)
+	answers := make(chan result, 1)
 	go func() {
 		list, err := d.get(ctx, url, limit)
-		answers <- answer{list, err}
+		answers <- result{list, err}
 	}()
 	out := time.NewTimer(accepted)
 	defer out.Stop()
@@ -214,12 +218,33 @@
 	case <-out.C:
 	}
 	if d.started {
-		d.events <- Event{Watched: true}
+		d.emit(ctx, Event{Watched: true})
 	}
 	a := <-answers
 	return a.list, a.err
 }
 
+// emit sends an event, unless ctx ends first.
+func (d *Client) emit(ctx context.Context, ev Event) {
+	select {
+	case d.events <- ev:
+	case <-ctx.Done():
+	}
+}
+
+// settled waits until the loop has applied the last update: what is compared before would be told as it was before.
+func (d *Client) settled(ctx context.Context) error {
+	if d.applied == nil {
+		return nil
+	}
+	select {
+	case <-d.applied:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // wait pauses, unless ctx or a move of discovery ends it.
 func (d *Client) wait(ctx context.Context, pause time.Duration) {
 	select {
@@ -279,28 +304,31 @@
 	}
 }
 
-func (d *Client) get(ctx context.Context, url string, limit time.Duration) (List, error) {
-	var list List
+func (d *Client) get(ctx context.Context, url string, limit time.Duration) (*answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
-		return list, err
+		return nil, err
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return list, err
+		return nil, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
 		if resp.StatusCode == http.StatusServiceUnavailable {
-			return list, errUnavailable
+			return nil, errUnavailable
 		}
-		return list, fmt.Errorf("discovery answered %s", resp.Status)
+		return nil, fmt.Errorf("discovery answered %s", resp.Status)
+	}
+	if err := d.settled(ctx); err != nil {
+		return nil, err
 	}
-	if err := json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&list); err != nil {
-		return list, fmt.Errorf("%w: %w", errUnreadable, err)
+	list, err := d.dir.read(bufio.NewReaderSize(io.LimitReader(resp.Body, maxList), readAhead))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errUnreadable, err)
 	}
 	io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
 	return list, nil
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -86,7 +86,7 @@
 		_, events, log := watchOf(t, s)
 		s.answers <- nonsense
 		s.answers <- good
-		first := await(t, events, "list").(Event)
+		first := awaitEvent(t, events, "list")
 		if first.Err != nil || first.Update.Generation != 6 || len(first.Update.Rows) != 1 {
 			t.Errorf("%s: told %+v", nonsense, first)
 		}
@@ -109,14 +109,14 @@
 	s.answers <- good
 	s.answers <- good
 	for range 2 {
-		if ev := await(t, events, "list").(Event); ev.Err != nil || ev.Update.Generation != 6 {
+		if ev := awaitEvent(t, events, "list"); ev.Err != nil || ev.Update.Generation != 6 {
 			t.Errorf("told %+v", ev)
 		}
 	}
 	for range badMost {
 		s.answers <- `{"generation":2,"reset":false,"instances":[]}`
 	}
-	if ev := await(t, events, "failure").(Event); ev.Err == nil {
+	if ev := awaitEvent(t, events, "failure"); ev.Err == nil {
 		t.Errorf("told %+v", ev)
 	}
 
@@ -125,10 +125,10 @@
 	for range badMost {
 		s.answers <- `{"generation":2,"reset":false,"instances":[]}`
 	}
-	await(t, events, "failure")
+	awaitEvent(t, events, "failure")
 	s.answers <- `{"generation":2,"reset":true,"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"up"}]}`
 	go d.Watch(t.Context()) // as the module has it do
-	if ev := await(t, events, "list").(Event); ev.Err != nil || ev.Update.Generation != 2 {
+	if ev := awaitEvent(t, events, "list"); ev.Err != nil || ev.Update.Generation != 2 {
 		t.Errorf("told %+v", ev)
 	}
 	var last string
@@ -148,17 +148,17 @@
 	d.gen, d.started, d.hold = 5, true, time.Millisecond
 	s.answers <- "" // silent
 	go d.Watch(t.Context())
-	if ev := await(t, events, "end of the silent watch").(Event); ev.Err == nil {
+	if ev := awaitEvent(t, events, "end of the silent watch"); ev.Err == nil {
 		t.Fatalf("told %+v", ev)
 	}
 	s.answers <- good
 	go d.Watch(t.Context())
-	if ev := await(t, events, "list").(Event); ev.Err != nil || ev.Update.Generation != 6 {
+	if ev := awaitEvent(t, events, "list"); ev.Err != nil || ev.Update.Generation != 6 {
 		t.Fatalf("told %+v", ev)
 	}
 	s.late <- `{"generation":3,"reset":true,"instances":[]}` // written by the old call's side, after all
 	s.answers <- strings.Replace(good, "6", "7", 1)
-	if ev := await(t, events, "next list").(Event); ev.Err != nil || ev.Update.Generation != 7 {
+	if ev := awaitEvent(t, events, "next list"); ev.Err != nil || ev.Update.Generation != 7 {
 		t.Errorf("told %+v", ev)
 	}
 }
@@ -171,7 +171,7 @@
 	await(t, s.asked, "watch")
 	next.answers <- `{"generation":2,"reset":true,"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"up"}]}`
 	d.Move(next.addr())
-	if ev := await(t, events, "list").(Event); ev.Err != nil || ev.Update.Generation != 2 {
+	if ev := awaitEvent(t, events, "list"); ev.Err != nil || ev.Update.Generation != 2 {
 		t.Errorf("told %+v", ev)
 	}
 	if q := await(t, next.asked, "call"); q != "" {
@@ -192,7 +192,7 @@
 		soon    time.Duration // the first call comes within that
 	}{{2, false, 0, 0}, {10, false, 0, 10 * spreadEach}, {10, true, 4 * prompt, 0}, {10, true, 0, 0}, {300, true, 0, 0}, {300, false, 0, time.Second}} {
 		p := newSource(t)
-		p.list = List{Generation: 3, Reset: true, Instances: []Instance{{ID: "a", Lifecycle: "up"}}}
+		p.list = List{Generation: 3, Reset: true, Instances: []Instance{{ID: "a", HostPort: "h:1", Lifecycle: "up"}}}
 		p.late = x.late
 		events := make(chan any, 8)
 		d := newTestClient(strings.TrimPrefix(p.srv.URL, "http://"), x.senders, time.Second, 5, slog.New(slog.DiscardHandler), events)
@@ -208,15 +208,15 @@
 		if query := await(t, p.asked, "first call"); query != first || time.Since(at) > x.soon+100*time.Millisecond {
 			t.Errorf("%+v: %s %v after the start, want %s", x, query, time.Since(at), first)
 		}
-		await(t, events, "list")
+		awaitEvent(t, events, "list")
 		at = time.Now()
 		await(t, p.asked, "watch")
 		if gap := time.Since(at); gap > 100*time.Millisecond {
 			t.Errorf("%+v: the watch began %v after the list", x, gap)
 		}
 		<-time.After(busyAfter + 50*time.Millisecond)
-		p.set(func() { p.list = List{Generation: 4, Instances: []Instance{{ID: "a", Lifecycle: "up"}}} })
-		await(t, events, "news")
+		p.set(func() { p.list = List{Generation: 4, Instances: []Instance{{ID: "a", HostPort: "h:1", Lifecycle: "up"}}} })
+		awaitEvent(t, events, "news")
 		at = time.Now()
 		query := await(t, p.asked, "next watch")
 		least := time.Duration(0)
@@ -235,7 +235,7 @@
 // the signal, and a pause may last longer.
 func TestMoveEndsAPause(t *testing.T) {
 	p := newSource(t)
-	p.list = List{Generation: 3, Reset: true, Instances: []Instance{{ID: "a", Lifecycle: "up"}}}
+	p.list = List{Generation: 3, Reset: true, Instances: []Instance{{ID: "a", HostPort: "h:1", Lifecycle: "up"}}}
 	p.late = busyAfter + 2*prompt
 	events := make(chan any, 8)
 	d := newTestClient(strings.TrimPrefix(p.srv.URL, "http://"), 300, time.Second, 5, slog.New(slog.DiscardHandler), events)
@@ -243,7 +243,7 @@
 	done := make(chan struct{})
 	go func() { defer close(done); d.Watch(ctx) }()
 	await(t, p.asked, "first call")
-	await(t, events, "list")
+	awaitEvent(t, events, "list")
 	at := time.Now()
 	d.Move(strings.TrimPrefix(p.srv.URL, "http://"))
 	if query := await(t, p.asked, "call to the new address"); query != "" || time.Since(at) > 500*time.Millisecond {
@@ -262,11 +262,11 @@
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() { defer close(done); d.Watch(ctx) }()
-	if ev := await(t, events, "list").(Event); ev.Watched {
+	if ev := awaitEvent(t, events, "list"); ev.Watched {
 		t.Error("a list is told as a watch that waits")
 	}
 	at := time.Now()
-	if ev := await(t, events, "a watch that waits").(Event); !ev.Watched || time.Since(at) < 2*time.Second {
+	if ev := awaitEvent(t, events, "a watch that waits"); !ev.Watched || time.Since(at) < 2*time.Second {
 		t.Errorf("%+v after %v, want a watch that waits after the 2 s in which it may be turned away", ev, time.Since(at))
 	}
 	stop()
@@ -298,3 +298,27 @@
 	stop()
 	<-done
 }
+
+// The next answer is compared only once the loop has applied the last one: else it would be told again, or missed.
+func TestAnswersWaitForTheirTurn(t *testing.T) {
+	s := newScript(t)
+	d, events, _ := watchOf(t, s)
+	s.answers <- good
+	s.answers <- strings.Replace(good, "6", "7", 1) // the same row in a newer list
+	first := await(t, events, "list").(Event)
+	for range 2 {
+		await(t, s.asked, "call")
+	}
+	select {
+	case ev := <-events:
+		t.Fatalf("told %+v before the last update was applied", ev)
+	case <-time.After(100 * time.Millisecond): // the answer has come meanwhile
+	}
+	if rows := d.dir.Apply(&first.Update, time.Now()); len(rows) != 1 {
+		t.Errorf("the module is told %v", rows)
+	}
+	first.Done()
+	if next := awaitEvent(t, events, "next list"); next.Update.Generation != 7 || len(next.Update.Rows) != 0 {
+		t.Errorf("told %+v", next)
+	}
+}
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -11,19 +11,111 @@
 	"crossdeal/logic"
 )
 
-const goneKept = 10 * time.Minute // what is not listed keeps its number for so long
+const (
+	goneKept  = 10 * time.Minute // what is not listed keeps its number for so long
+	pageSize  = 256              // records that are kept together
+	labelMost = 4096             // different zones, or kinds, that are told apart
+)
 
 // Directory is the replica of the list: it maps names to the module's numbers and numbers to targets. Only the owner of
-// the loop changes it; others may read it at any time.
+// the loop changes it; others may read it at any time. An endpoint takes some 150 bytes and its name and address.
 type Directory struct {
-	zones []string
-	kinds []logic.Kind
+	mu     sync.RWMutex
+	zones  labels
+	kinds  labels
+	ids    map[string]logic.EndpointID
+	pages  map[logic.EndpointID]*page // by number / pageSize
+	last   logic.EndpointID
+	gone   map[logic.EndpointID]time.Time // since when what has a number is not listed
+	listed int
+	doubts int // records whose state is not known
+}
+
+type page struct {
+	records [pageSize]record
+	used    int
+}
+
+// record is what the list last said of an endpoint.
+type record struct {
+	name   string
+	addr   string
+	dest   int64
+	weight float64
+	zone   uint16
+	kind   uint16
+	state  state
+}
+
+type state uint8
+
+const (
+	nameless state = iota // no record
+	unlisted              // has a number only
+	up
+	draining
+	doubtful // taken over from another process, which listed it or did not
+)
+
+func (s state) listed() bool { return s == up || s == draining }
+
+// stateOf reads a lifecycle. One that is not known is no invitation to send.
+func stateOf(lifecycle string) state {
+	switch lifecycle {
+	case "up":
+		return up
+	case "removed":
+		return unlisted
+	}
+	return draining
+}
+
+func (s state) lifecycle() string {
+	switch s {
+	case up:
+		return "up"
+	case draining:
+		return "draining"
+	}
+	return "removed"
+}
+
+func (s state) readiness() logic.Readiness {
+	switch s {
+	case up:
+		return logic.Ready
+	case draining:
+		return logic.Draining
+	}
+	return logic.Gone
+}
+
+// labels keeps each of few strings once. Place 0 is the empty string, and whatever comes when there are too many.
+type labels struct {
+	names  []string
+	index  map[string]uint16
+	places []int // of each in the settings; -1 if they do not have it
+	known  []string
+}
+
+func newLabels(known []string) labels {
+	l := labels{index: map[string]uint16{}, known: known}
+	l.add("")
+	return l
+}
+
+func (l *labels) add(name string) uint16 {
+	i, ok := l.index[name]
+	if !ok && len(l.names) < labelMost {
+		i = uint16(len(l.names))
+		l.index[name], l.names, l.places = i, append(l.names, name), append(l.places, slices.Index(l.known, name))
+	}
+	return i
+}
 
-	mu   sync.RWMutex
-	ids  map[string]logic.EndpointID
-	eps  map[logic.EndpointID]Target
-	last logic.EndpointID
-	gone map[string]time.Time // since when a name is not listed
+// is says whether name is kept at i.
+func (l *labels) is(i uint16, name string) bool {
+	return l.names[i] == name || i == 0 && len(l.names) == labelMost && l.index[name] == 0
 }
 
 // Target is where an endpoint can be reached.
@@ -36,57 +128,76 @@
 
 // NewDirectory returns an empty directory; zones and kinds are those of the settings.
 func NewDirectory(zones []string, kinds []logic.Kind) *Directory {
-	return &Directory{zones: zones, kinds: kinds, ids: map[string]logic.EndpointID{}, eps: map[logic.EndpointID]Target{},
-		gone: map[string]time.Time{}}
+	var names []string
+	for _, k := range kinds {
+		names = append(names, k.Name)
+	}
+	return &Directory{zones: newLabels(zones), kinds: newLabels(names), ids: map[string]logic.EndpointID{},
+		pages: map[logic.EndpointID]*page{}, gone: map[logic.EndpointID]time.Time{}}
 }
 
-// Reduce turns a list into an update.
-func (d *Directory) Reduce(l List) Update {
-	return Update{Generation: l.Generation, Whole: l.Reset, Rows: l.Instances}
+// record is the place of a number's record; nil if there is none.
+func (d *Directory) record(id logic.EndpointID) *record {
+	p := d.pages[id/pageSize]
+	if p == nil || p.records[id%pageSize].state == nameless {
+		return nil
+	}
+	return &p.records[id%pageSize]
 }
 
 // Apply takes an update and returns what the module is to be told. An endpoint keeps its number while it is listed and
-// for some time after, whatever its address.
+// for some time after, whatever its address. The cost is that of the update's rows, whatever the size of the list.
 func (d *Directory) Apply(u *Update, now time.Time) []logic.Entry {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if u.Whole {
-		for name := range d.ids {
-			if _, gone := d.gone[name]; !gone {
-				d.gone[name] = now
-			}
-		}
-	}
 	rows := make([]logic.Entry, 0, len(u.Rows))
-	for _, in := range u.Rows {
-		if !d.usable(in) {
-			u.Unusable++
-			continue
-		}
+	for i := range u.Rows {
+		in := &u.Rows[i]
 		id := d.number(in.ID)
-		row := logic.Entry{Endpoint: id, Zone: slices.Index(d.zones, in.Zone), Dest: in.Dest, Nominal: in.Weight,
-			Kind: slices.IndexFunc(d.kinds, func(k logic.Kind) bool { return k.Name == in.Kind })}
-		delete(d.gone, in.ID)
-		switch in.Lifecycle {
-		case "up":
-			row.State = logic.Ready
-		case "removed":
-			row.State = logic.Gone
-			d.gone[in.ID] = now
-		default: // a state that is not known is no invitation to send
-			row.State = logic.Draining
+		r := d.record(id)
+		d.set(id, r, stateOf(in.Lifecycle), now)
+		if r.state.listed() {
+			r.zone, r.kind, r.dest, r.weight = d.zones.add(in.Zone), d.kinds.add(in.Kind), in.Dest, in.Weight
 		}
 		if reachable(in.HostPort) {
-			d.eps[id] = Target{in.HostPort, row.Zone, row.Dest, row.Kind}
+			r.addr = in.HostPort
 		}
-		rows = append(rows, row)
+		rows = append(rows, d.entry(id, r))
 	}
 	return rows
 }
 
-// usable says whether an entry makes sense: it has a name, and what is new has an address too.
-func (d *Directory) usable(in Instance) bool {
-	return in.ID != "" && (reachable(in.HostPort) || d.eps[d.ids[in.ID]].Addr != "" || in.Lifecycle == "removed")
+// set gives a record another state.
+func (d *Directory) set(id logic.EndpointID, r *record, s state, now time.Time) {
+	if r.state.listed() {
+		d.listed--
+	}
+	if r.state == doubtful {
+		d.doubts--
+	}
+	if r.state = s; s.listed() {
+		d.listed++
+	}
+	if s == doubtful {
+		d.doubts++
+	}
+	if s != unlisted {
+		delete(d.gone, id)
+	} else if _, ok := d.gone[id]; !ok {
+		d.gone[id] = now
+	}
+}
+
+// entry is what the module is told of a record.
+func (d *Directory) entry(id logic.EndpointID, r *record) logic.Entry {
+	return logic.Entry{Endpoint: id, Zone: d.zones.places[r.zone], Kind: d.kinds.places[r.kind], Dest: r.dest,
+		State: r.state.readiness(), Nominal: r.weight}
+}
+
+// instance is a record in the published form.
+func (d *Directory) instance(r *record) Instance {
+	return Instance{ID: r.name, HostPort: r.addr, Zone: d.zones.names[r.zone], Kind: d.kinds.names[r.kind], Dest: r.dest,
+		Lifecycle: r.state.lifecycle(), Weight: r.weight}
 }
 
 // reachable says whether an address can be called.
@@ -106,13 +217,39 @@
 func (d *Directory) number(name string) logic.EndpointID {
 	id, ok := d.ids[name]
 	if !ok {
-		d.last++
-		id = d.last
-		d.ids[name] = id
+		id = d.last + 1
+		d.add(name, id)
 	}
 	return id
 }
 
+// add gives a name a number.
+func (d *Directory) add(name string, id logic.EndpointID) *record {
+	d.ids[name], d.last = id, max(d.last, id)
+	p := d.pages[id/pageSize]
+	if p == nil {
+		p = &page{}
+		d.pages[id/pageSize] = p
+	}
+	r := &p.records[id%pageSize]
+	if r.state == nameless {
+		p.used++
+	}
+	*r = record{name: name, state: unlisted}
+	return r
+}
+
+// drop takes a name's number back.
+func (d *Directory) drop(id logic.EndpointID, r *record) {
+	delete(d.ids, r.name)
+	delete(d.gone, id)
+	*r = record{}
+	p := d.pages[id/pageSize]
+	if p.used--; p.used == 0 {
+		delete(d.pages, id/pageSize)
+	}
+}
+
 // Lookup is the number of a name that has one.
 func (d *Directory) Lookup(name string) (logic.EndpointID, bool) {
 	d.mu.RLock()
@@ -125,31 +262,128 @@
 func (d *Directory) Target(ep logic.EndpointID) (Target, bool) {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
-	t, ok := d.eps[ep]
-	return t, ok
+	r := d.record(ep)
+	if r == nil || r.addr == "" {
+		return Target{}, false
+	}
+	return Target{Addr: r.addr, Zone: d.zones.places[r.zone], Dest: r.dest, Kind: d.kinds.places[r.kind]}, true
+}
+
+// Len is the number of endpoints that are listed.
+func (d *Directory) Len() int {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.listed
+}
+
+// Known says whether the state of all that has a number is known: after a takeover it is not until the list came.
+func (d *Directory) Known() bool {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.doubts == 0
+}
+
+// All yields what is listed, in the published form, in the order of the numbers. No update may be applied meanwhile.
+func (d *Directory) All() iter.Seq[Instance] {
+	return func(yield func(Instance) bool) {
+		var rows []Instance
+		for n := logic.EndpointID(0); ; n++ {
+			rows = rows[:0]
+			d.mu.RLock()
+			end := n > d.last/pageSize
+			if p := d.pages[n]; p != nil {
+				for i := range p.records {
+					if r := &p.records[i]; r.state.listed() {
+						rows = append(rows, d.instance(r))
+					}
+				}
+			}
+			d.mu.RUnlock()
+			if end {
+				return
+			}
+			for _, in := range rows { // unlocked: whoever takes them may be slow
+				if !yield(in) {
+					return
+				}
+			}
+		}
+	}
+}
+
+// Entries is all that is listed as the module is told of it.
+func (d *Directory) Entries() []logic.Entry {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	rows := make([]logic.Entry, 0, d.listed)
+	for id, r := range d.records() {
+		if r.state.listed() {
+			rows = append(rows, d.entry(id, r))
+		}
+	}
+	return rows
+}
+
+// records yields all that has a number, in order.
+func (d *Directory) records() iter.Seq2[logic.EndpointID, *record] {
+	return func(yield func(logic.EndpointID, *record) bool) {
+		for n := logic.EndpointID(0); n <= d.last/pageSize; n++ {
+			p := d.pages[n]
+			if p == nil {
+				continue
+			}
+			for i := range p.records {
+				if r := &p.records[i]; r.state != nameless && !yield(n*pageSize+logic.EndpointID(i), r) {
+					return
+				}
+			}
+		}
+	}
 }
 
-// Names yields every name that has a number, listed or not. The directory must not change meanwhile.
+// Names yields every name that has a number, listed or not, to the owner of the loop.
 func (d *Directory) Names() iter.Seq2[string, logic.EndpointID] {
 	return func(yield func(string, logic.EndpointID) bool) {
-		d.mu.RLock()
-		defer d.mu.RUnlock()
-		for name, id := range d.ids {
-			if !yield(name, id) {
+		for id, r := range d.records() {
+			if !yield(r.name, id) {
 				return
 			}
 		}
 	}
 }
 
-// Adopt takes a number of another process over, with its target (without an address if it has none).
+// Adopt takes a number of another process over, with its target (without an address if it has none). Whether it is
+// listed is not known until the list tells.
 func (d *Directory) Adopt(name string, id logic.EndpointID, t Target) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.ids[name] = id
-	d.last = max(d.last, id)
+	if id == 0 || d.record(id) != nil {
+		return
+	}
+	r := d.add(name, id)
 	if t.Addr != "" {
-		d.eps[id] = t
+		r.addr, r.dest = t.Addr, t.Dest
+		r.zone, r.kind = d.zones.at(t.Zone), d.kinds.at(t.Kind)
+	}
+	d.set(id, r, doubtful, time.Time{})
+}
+
+// at is the label of a place in the settings.
+func (l *labels) at(place int) uint16 {
+	if place < 0 || place >= len(l.known) {
+		return 0
+	}
+	return l.add(l.known[place])
+}
+
+// Settle takes what is still in doubt for not listed: all that the list has was told.
+func (d *Directory) Settle(now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, r := range d.records() {
+		if r.state == doubtful {
+			d.set(id, r, unlisted, now)
+		}
 	}
 }
 
@@ -157,11 +391,9 @@
 func (d *Directory) Forget(now time.Time, used func(name string, id logic.EndpointID) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for name, since := range d.gone {
-		if id := d.ids[name]; now.Sub(since) > goneKept && !used(name, id) {
-			delete(d.gone, name)
-			delete(d.ids, name)
-			delete(d.eps, id)
+	for id, since := range d.gone {
+		if r := d.record(id); now.Sub(since) > goneKept && !used(r.name, id) {
+			d.drop(id, r)
 		}
 	}
 }
--- a/internal/discovery/directory_test.go
+++ b/internal/discovery/directory_test.go
@@ -28,8 +28,14 @@
 		t.Errorf("forgotten at once: %v", d.ids)
 	}
 	d.Forget(time.Now().Add(goneKept+time.Second), used)
-	if len(d.ids) != 2 || len(d.eps) != 2 || d.ids["b"] != 2 || d.ids["d"] != 4 || len(d.gone) != 1 {
-		t.Errorf("kept %v, %v, gone %v", d.ids, d.eps, d.gone)
+	targets := 0
+	for _, id := range d.Names() {
+		if _, ok := d.Target(id); ok {
+			targets++
+		}
+	}
+	if len(d.ids) != 2 || targets != 2 || d.ids["b"] != 2 || d.ids["d"] != 4 || len(d.gone) != 1 {
+		t.Errorf("kept %v, %d targets, gone %v", d.ids, targets, d.gone)
 	}
 	if id := d.Number("a"); id != 5 {
 		t.Errorf("number %d is given again", id)
@@ -53,7 +59,7 @@
 	if len(rows) != 2 || unusable != 5 || len(d.ids) != 2 {
 		t.Errorf("%d entries taken, %d left out, names %v", len(rows), unusable, d.ids)
 	}
-	if to := d.eps[d.ids["a"]]; to.Addr != "h:1" {
+	if to, _ := d.Target(d.ids["a"]); to.Addr != "h:1" {
 		t.Errorf("a is called at %q now", to.Addr)
 	}
 	if fmt.Sprint(rows[0].State, rows[1].State) != fmt.Sprint(logic.Draining, logic.Ready) {
--- a/internal/discovery/harness_test.go
+++ b/internal/discovery/harness_test.go
@@ -94,3 +94,13 @@
 func newTestClient(addr string, senders int, grace time.Duration, seed uint64, log *slog.Logger, events chan<- any) *Client {
 	return NewClient(Config{Addr: addr, Senders: senders, Grace: grace, Seed: seed, Directory: NewDirectory(nil, nil), Log: log}, events)
 }
+
+// awaitEvent takes the next event as the loop does, but applies nothing.
+func awaitEvent(t *testing.T, events <-chan any, what string) Event {
+	t.Helper()
+	ev := await(t, events, what).(Event)
+	if ev.Done != nil {
+		ev.Done()
+	}
+	return ev
+}
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -18,10 +18,12 @@
 	Weight    float64 `json:"weight"`    // calls a second that the destination takes, where the settings say so
 }
 
-// Update is an answer of discovery as the directory takes it.
+// Update is an answer of discovery, reduced to what differs from the directory. It is to be applied before the next
+// answer is compared.
 type Update struct {
 	Generation int64
-	Whole      bool // the answer was a whole list
-	Rows       []Instance
-	Unusable   int // rows of the answer that made no sense
+	Whole      bool       // the answer was a whole list
+	Rows       []Instance // what the list no longer has comes first, as removed
+	Unusable   int        // rows of the answer that made no sense; what they name stays as it was
+	Duplicates int        // rows of the answer with the id of an earlier one, which they replace
 }
--- /dev/null
+++ b/internal/discovery/stream_test.go
@@ -0,0 +1,362 @@
+package discovery
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"crossdeal/logic"
+)
+
+func mustRead(t testing.TB, d *Directory, in io.Reader) *answer {
+	t.Helper()
+	a, err := d.read(in)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// ids lists rows as name and lifecycle.
+func ids(rows []Instance) string {
+	var out []string
+	for _, in := range rows {
+		out = append(out, in.ID+" "+in.Lifecycle)
+	}
+	return strings.Join(out, ", ")
+}
+
+const three = `{"generation":1,"reset":true,"instances":[
+{"instanceId":"a","hostPort":"h:1","zone":"z","machineType":"m","cell":1,"lifecycle":"up","weight":2},
+{"instanceId":"b","hostPort":"h:2","zone":"z","machineType":"m","cell":1,"lifecycle":"up","weight":2},
+{"instanceId":"c","hostPort":"h:3","zone":"z","machineType":"m","cell":2,"lifecycle":"up","weight":2}]}`
+
+// A whole list comes to the module as what it changes: rows that differ in any field, and those that it lacks.
+func TestWholeListIsReduced(t *testing.T) {
+	d := NewDirectory([]string{"z"}, nil)
+	first := mustRead(t, d, strings.NewReader(three))
+	if got := ids(first.Rows); got != "a up, b up, c up" || !first.Whole || first.count != 3 {
+		t.Fatalf("at first %s, %+v", got, first)
+	}
+	d.Apply(&first.Update, time.Now())
+	if same := mustRead(t, d, strings.NewReader(three)); len(same.Rows) != 0 || !same.Whole || same.count != 3 {
+		t.Errorf("the same again: %+v", same)
+	}
+	b := `{"instanceId":"b","hostPort":"h:2","zone":"z","machineType":"m","cell":1,"lifecycle":"up","weight":2}`
+	for _, x := range [][2]string{{`"h:2"`, `"h:4"`}, {`"cell":1`, `"cell":3`}, {`"up"`, `"draining"`}, {`"weight":2`, `"weight":3`},
+		{`"z"`, `"y"`}, {`"m"`, `"n"`}} {
+		a := mustRead(t, d, strings.NewReader(strings.Replace(three, b, strings.Replace(b, x[0], x[1], 1), 1)))
+		if len(a.Rows) != 1 || a.Rows[0].ID != "b" {
+			t.Errorf("%s for %s: told %s", x[1], x[0], ids(a.Rows))
+		}
+	}
+	less := mustRead(t, d, strings.NewReader(strings.Replace(three, b+",\n", "", 1)))
+	if got := ids(less.Rows); got != "b removed" {
+		t.Errorf("without b: told %s", got)
+	}
+	rows := d.Apply(&less.Update, time.Now())
+	if len(rows) != 1 || rows[0].State != logic.Gone || d.Len() != 2 {
+		t.Errorf("without b: the module is told %+v, %d are listed", rows, d.Len())
+	}
+}
+
+// Generation and reset may come after the rows, the text may be indented and come in pieces, and what is not known is
+// passed over.
+func TestFieldsInAnyOrder(t *testing.T) {
+	d := NewDirectory(nil, nil)
+	take(d, List{Reset: true, Instances: []Instance{{ID: "a", HostPort: "h:1", Lifecycle: "up"}, {ID: "x", HostPort: "h:9", Lifecycle: "up"}}})
+	text := `{"more":[{"instances":[1,{"a":null}]},"}"],"instances":[{"lifecycle":"up","hostPort":"h:1","instanceId":"a","startedAtMs":0},
+	{"hostPort":"h:2","instanceId":"b","tags":{"x":[1,2]},"lifecycle":"up"}],"reset":true,"generation":7}`
+	var value any
+	if err := json.Unmarshal([]byte(text), &value); err != nil {
+		t.Fatal(err)
+	}
+	indented, _ := json.MarshalIndent(value, "", "\t\t")
+	for _, text := range []string{text, string(indented)} {
+		a := mustRead(t, d, iotest.OneByteReader(strings.NewReader(text)))
+		if got := ids(a.Rows); got != "x removed, b up" || a.Generation != 7 || !a.Whole || a.Unusable != 0 {
+			t.Errorf("told %s, %+v", got, a)
+		}
+	}
+}
+
+// Wherever an answer breaks off, it is no list, and the directory stays as it was.
+func TestCutAnswers(t *testing.T) {
+	d := NewDirectory(nil, nil)
+	for i := range three {
+		if _, err := d.read(strings.NewReader(three[:i])); err == nil {
+			t.Errorf("%q is taken", three[:i])
+		}
+	}
+	if d.Len() != 0 || d.last != 0 {
+		t.Errorf("%d listed, last number %d", d.Len(), d.last)
+	}
+}
+
+// Rows that make no sense are counted and leave what they name as it was, also in a whole list; of rows with one id the
+// last one wins; a list of which no row makes sense is none.
+func TestNonsenseInAStream(t *testing.T) {
+	row := func(id, rest string) string {
+		return fmt.Sprintf(`{"instanceId":%q,"hostPort":"h:7","lifecycle":"up",%s}`, id, rest)
+	}
+	for _, x := range []struct {
+		rows, want           string
+		unusable, duplicates int
+	}{
+		{row("a", `"cell":-1`) + "," + row("n", `"cell":-9`), "b removed, c removed, ok up", 2, 0},
+		{row("a", `"cell":99999999999999999999`), "b removed, c removed, ok up", 1, 0},
+		{row("a", `"cell":1.5`) + `,7,null,"x",[]`, "b removed, c removed, ok up", 5, 0},
+		{row("a", `"cell":1,"weight":1e999`), "b removed, c removed, ok up", 1, 0},
+		{row("", `"cell":1`) + `,{"hostPort":"h:1","lifecycle":"up"}`, "a removed, b removed, c removed, ok up", 2, 0},
+		{row("a", `"cell":5`) + "," + row("a", `"cell":6`), "b removed, c removed, a up, ok up", 0, 1},
+		{row("n", `"cell":5`) + "," + row("n", `"cell":6`) + "," + row("n", `"cell":7`), "a removed, b removed, c removed, n up, ok up", 0, 2},
+	} {
+		d := NewDirectory([]string{"z"}, nil)
+		first := mustRead(t, d, strings.NewReader(three))
+		d.Apply(&first.Update, time.Now())
+		a := mustRead(t, d, strings.NewReader(`{"generation":2,"reset":true,"instances":[`+x.rows+","+row("ok", `"cell":1`)+`]}`))
+		if got := ids(a.Rows); got != x.want || a.Unusable != x.unusable || a.Duplicates != x.duplicates {
+			t.Errorf("%s: told %s, %d unusable, %d duplicates", x.rows, got, a.Unusable, a.Duplicates)
+		}
+		if i := slices.IndexFunc(a.Rows, func(in Instance) bool { return in.ID == "a" && in.Lifecycle == "up" }); i >= 0 && a.Rows[i].Dest != 6 {
+			t.Errorf("%s: a is %+v, want the last row", x.rows, a.Rows[i])
+		}
+		if a, err := d.read(strings.NewReader(`{"generation":2,"reset":true,"instances":[7,{"hostPort":"h:1"}]}`)); err == nil {
+			t.Errorf("a list without a row that makes sense is taken: %+v", a)
+		}
+	}
+}
+
+// A value that never ends is given up before much of it is kept.
+func TestEndlessValue(t *testing.T) {
+	for _, begin := range []string{`{"instances":[{"instanceId":"`, `{"`, `{"more":"`, `{"generation":`, `{"instances":[{"x":[`} {
+		text := &counted{in: io.MultiReader(strings.NewReader(begin), endless("1,"[:1]))}
+		if _, err := NewDirectory(nil, nil).read(text); err == nil || text.n > 4*longestRow {
+			t.Errorf("%s: %d bytes read, %v", begin, text.n, err)
+		}
+	}
+}
+
+type endless string
+
+func (e endless) Read(b []byte) (int, error) {
+	for i := range b {
+		b[i] = e[i%len(e)]
+	}
+	return len(b), nil
+}
+
+type counted struct {
+	in io.Reader
+	n  int
+}
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.in.Read(b)
+	c.n += n
+	return n, err
+}
+
+// Whatever lists follow each other, the module knows the same after the reduced ones as after the ones that came.
+func TestReducedListsTellTheSame(t *testing.T) {
+	type told struct {
+		zone, kind int
+		dest       int64
+		state      logic.Readiness
+		weight     float64
+		addr       string
+	}
+	for seed := range uint64(50) {
+		rng := rand.New(rand.NewPCG(seed, 7))
+		d := NewDirectory([]string{"z0", "z1"}, []logic.Kind{{Name: "m0"}, {Name: "m1"}})
+		want, got := map[string]told{}, map[string]told{}
+		for range 40 {
+			l := List{Generation: 1, Reset: rng.IntN(3) == 0}
+			for range rng.IntN(12) {
+				l.Instances = append(l.Instances, Instance{ID: fmt.Sprint("i", rng.IntN(10)), HostPort: fmt.Sprint("h:", 1+rng.IntN(2)),
+					Zone: fmt.Sprint("z", rng.IntN(3)), Kind: fmt.Sprint("m", rng.IntN(3)), Dest: rng.Int64N(2),
+					Lifecycle: []string{"up", "up", "draining", "removed"}[rng.IntN(4)], Weight: float64(rng.IntN(2))})
+			}
+			if l.Reset && len(l.Instances) == 0 {
+				l.Instances = []Instance{}
+			}
+			if l.Reset {
+				clear(want)
+			}
+			for _, in := range l.Instances {
+				zone, kind := slices.Index([]string{"z0", "z1"}, in.Zone), slices.Index([]string{"m0", "m1"}, in.Kind)
+				if in.Lifecycle == "removed" {
+					delete(want, in.ID)
+				} else if in.Lifecycle == "up" {
+					want[in.ID] = told{zone, kind, in.Dest, logic.Ready, in.Weight, in.HostPort}
+				} else {
+					want[in.ID] = told{zone, kind, in.Dest, logic.Draining, in.Weight, in.HostPort}
+				}
+			}
+			text, _ := json.Marshal(l)
+			a := mustRead(t, d, strings.NewReader(string(text)))
+			names := map[logic.EndpointID]string{}
+			rows := d.Apply(&a.Update, time.Now())
+			for name, id := range d.Names() {
+				names[id] = name
+			}
+			for _, row := range rows {
+				to, _ := d.Target(row.Endpoint)
+				if row.State == logic.Gone {
+					delete(got, names[row.Endpoint])
+				} else {
+					got[names[row.Endpoint]] = told{row.Zone, row.Kind, row.Dest, row.State, row.Nominal, to.Addr}
+				}
+			}
+			if !maps.Equal(got, want) || d.Len() != len(want) {
+				t.Fatalf("seed %d: the module knows %v, want %v", seed, got, want)
+			}
+			if again := mustRead(t, d, strings.NewReader(string(text))); l.Reset && again.Duplicates == 0 && len(again.Rows) != 0 {
+				t.Fatalf("seed %d: told again %s", seed, ids(again.Rows))
+			}
+		}
+		all := NewDirectory([]string{"z0", "z1"}, []logic.Kind{{Name: "m0"}, {Name: "m1"}})
+		u := all.Reduce(List{Reset: true, Instances: slices.Collect(d.All())})
+		if all.Apply(&u, time.Now()); all.Len() != len(want) || len(u.Rows) != len(want) {
+			t.Fatalf("seed %d: a copy has %d of %d", seed, all.Len(), len(want))
+		}
+	}
+}
+
+// published writes a whole list of so many entries, one destination each, as discovery would.
+func published(w io.Writer, generation int64, entries int) {
+	fmt.Fprintf(w, `{"generation":%d,"reset":true,"instances":[`, generation)
+	for i := range entries {
+		if i > 0 {
+			io.WriteString(w, ",\n")
+		}
+		fmt.Fprintf(w, `{"instanceId":"s-%08x","hostPort":"10.%d.%d.%d:6379","zone":"zone-%d","machineType":"m2","cell":%d,"lifecycle":"up","weight":1.0,"startedAtMs":0}`,
+			i, i>>16&255, i>>8&255, i&255, i%6, i/2)
+	}
+	io.WriteString(w, "]}")
+}
+
+// An answer of any size is read as it comes: what a whole list that is known takes beside the directory does not grow
+// with it.
+func TestKnownListIsReadInBoundedMemory(t *testing.T) {
+	d := NewDirectory(nil, nil)
+	var text strings.Builder
+	const entries = 20000
+	published(&text, 1, entries)
+	first := mustRead(t, d, strings.NewReader(text.String()))
+	if len(first.Rows) != entries || len(d.Apply(&first.Update, time.Now())) != entries {
+		t.Fatalf("%d rows", len(first.Rows))
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	again := mustRead(t, d, strings.NewReader(text.String()))
+	runtime.ReadMemStats(&after)
+	if each := float64(after.TotalAlloc-before.TotalAlloc) / entries; len(again.Rows) != 0 || each > 64 {
+		t.Errorf("%d rows, %.0f bytes allocated for each entry", len(again.Rows), each)
+	}
+}
+
+// What one change costs does not depend on how much is listed.
+func TestOneChangeCostsTheSame(t *testing.T) {
+	cost := func(entries int) float64 {
+		d := NewDirectory(nil, nil)
+		pr, pw := io.Pipe()
+		go func() { published(pw, 1, entries); pw.Close() }()
+		first := mustRead(t, d, pr)
+		d.Apply(&first.Update, time.Now())
+		i := 0
+		return testing.AllocsPerRun(100, func() {
+			i++
+			u := d.Reduce(List{Instances: []Instance{{ID: "s-00000001", HostPort: "h:1", Dest: int64(i), Lifecycle: "up"}}})
+			if rows := d.Apply(&u, time.Now()); len(rows) != 1 {
+				t.Fatalf("%d rows", len(rows))
+			}
+		})
+	}
+	if small, large := cost(100), cost(20000); large > small+1 {
+		t.Errorf("%.0f allocations among 100, %.0f among 20000", small, large)
+	}
+}
+
+// BenchmarkReadWholeList reads a whole list of 200,000 entries that are new, and one that is known.
+func BenchmarkReadWholeList(b *testing.B) {
+	var text strings.Builder
+	published(&text, 1, 200000)
+	for _, known := range []bool{false, true} {
+		b.Run(fmt.Sprintf("known=%v", known), func(b *testing.B) {
+			b.ReportAllocs()
+			b.SetBytes(int64(text.Len()))
+			d := NewDirectory(nil, nil)
+			if known {
+				a := mustRead(b, d, strings.NewReader(text.String()))
+				d.Apply(&a.Update, time.Now())
+			}
+			peak := peakHeap(b)
+			for b.Loop() {
+				a := mustRead(b, d, strings.NewReader(text.String()))
+				if !known {
+					d = NewDirectory(nil, nil)
+					d.Apply(&a.Update, time.Now())
+				}
+			}
+			b.ReportMetric(peak()/1e6, "peak-MB")
+		})
+	}
+}
+
+// peakHeap watches the heap's growth until the returned function is called, which says by how many bytes at most.
+func peakHeap(b *testing.B) func() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	base, peak := m.HeapAlloc, uint64(0)
+	stop, done := make(chan bool), make(chan bool)
+	go func() {
+		defer close(done)
+		tick := time.NewTicker(5 * time.Millisecond)
+		defer tick.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-tick.C:
+				var m runtime.MemStats
+				runtime.ReadMemStats(&m)
+				peak = max(peak, m.HeapAlloc)
+			}
+		}
+	}()
+	return func() float64 {
+		close(stop)
+		<-done
+		return float64(max(peak, base) - base)
+	}
+}
+
+// BenchmarkOneChange applies one change to directories of several sizes.
+func BenchmarkOneChange(b *testing.B) {
+	for _, entries := range []int{200, 2000, 20000, 200000} {
+		b.Run(fmt.Sprintf("entries=%d", entries), func(b *testing.B) {
+			var text strings.Builder
+			published(&text, 1, entries)
+			d := NewDirectory(nil, nil)
+			a := mustRead(b, d, strings.NewReader(text.String()))
+			d.Apply(&a.Update, time.Now())
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				a := mustRead(b, d, strings.NewReader(fmt.Sprintf(`{"generation":2,"reset":false,"instances":[{"instanceId":"s-%08x","hostPort":"h:1","cell":%d,"lifecycle":"up"}]}`, i%entries, i)))
+				if rows := d.Apply(&a.Update, time.Now()); len(rows) != 1 {
+					b.Fatalf("%d rows", len(rows))
+				}
+			}
+		})
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -461,7 +461,8 @@
 	if n.cfg.Known.Generation != 0 || len(n.cfg.Known.Instances) > 0 {
 		known, n.generation = n.cfg.Known.Generation, n.cfg.Known.Generation
 		u := n.dir.Reduce(n.cfg.Known)
-		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.Apply(&u, time.Now()), Old: n.again})
+		n.dir.Apply(&u, time.Now())
+		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.Entries(), Old: n.again})
 	}
 	n.disc.Begin(known, n.again)
 	for _, id := range n.journal.TakenOut() {
@@ -586,31 +587,36 @@
 		n.next = append(n.next, logic.Endpoints{Form: logic.ListWatched})
 		return
 	}
-	u, form := &ev.Update, logic.ListDelta
-	if u.Whole {
-		form = logic.ListFull
-	}
+	u := &ev.Update
 	n.generation = u.Generation
 	rows := n.dir.Apply(u, time.Now())
 	if ev.Done != nil {
 		ev.Done()
 	}
-	if u.Unusable > 0 {
-		n.log.Warn("list", "generation", u.Generation, "entries that make no sense", u.Unusable)
+	if u.Unusable > 0 || u.Duplicates > 0 {
+		n.log.Warn("list", "generation", u.Generation, "entries that make no sense", u.Unusable, "duplicates", u.Duplicates)
 	}
-	if len(rows) > 0 {
-		n.log.Info("list", "generation", u.Generation, "whole", u.Whole, "entries", len(rows))
+	if len(rows) > 0 || u.Whole {
+		n.log.Info("list", "generation", u.Generation, "whole", u.Whole, "entries", len(rows), "listed", n.dir.Len())
 	}
-	n.hold(func(ep logic.EndpointID) bool {
-		i := slices.IndexFunc(rows, func(row logic.Entry) bool { return row.Endpoint == ep })
-		return i >= 0 && rows[i].State != logic.Ready || i < 0 && u.Whole
-	})
-	for _, h := range n.held { // what connects to where the endpoint was
-		if h.stop != nil && (h.call.addr != n.target(h.call.ep).Addr || h.call.dest != n.target(h.call.ep).Dest) {
-			h.hold()
+	// A whole list comes as what it changes: the module is told the same, and that the list is fresh.
+	n.next = append(n.next, logic.Endpoints{Form: logic.ListDelta, Entries: rows})
+	if len(rows) == 0 {
+		return
+	}
+	for _, h := range n.held {
+		if h.stop == nil {
+			continue
+		}
+		i := slices.IndexFunc(rows, func(r logic.Entry) bool { return r.Endpoint == h.call.ep })
+		state, ok := logic.Ready, i >= 0
+		if ok {
+			state = rows[i].State
+		}
+		if to := n.target(h.call.ep); ok && (state != logic.Ready || h.call.addr != to.Addr || h.call.dest != to.Dest) {
+			h.hold() // else it would connect to where the endpoint was
 		}
 	}
-	n.next = append(n.next, logic.Endpoints{Form: form, Entries: rows})
 }
 
 func (n *Node) reply(ev replyEvent) {
