Let a list cost its rows and the calls that are out, not their product

Cause: for each call that was out, all rows of a list were searched for its endpoint.

Change: the states that a list changes are looked up by number.

--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -1,8 +1,12 @@
 package node
 
 import (
+	"fmt"
 	"log/slog"
+	"strconv"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"crossdeal/internal/discovery"
 	"crossdeal/logic"
@@ -60,3 +64,38 @@
 		n.close()
 	}
 }
+
+// A list costs what its rows and the calls that are out cost, not their product.
+func TestListCostsRowsAndCalls(t *testing.T) {
+	const rows = 20000
+	cost := func(calls int) time.Duration {
+		cfg, err := ParseConfig(configText(newPlatform(t), discovery.List{}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		cfg.StateDir = t.TempDir()
+		n, err := New(cfg, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer n.close()
+		for i := range calls { // each to an endpoint that the list does not have
+			n.held[strconv.Itoa(i)] = &held{call: &call{ep: logic.EndpointID(rows + 1 + i), state: new(atomic.Int32)}, stop: func(error) {}}
+		}
+		least := time.Hour
+		for i := range 3 {
+			l := discovery.List{Generation: int64(i), Reset: true}
+			for k := range rows {
+				l.Instances = append(l.Instances, discovery.Instance{ID: strconv.Itoa(k), HostPort: fmt.Sprintf("h:%d", i+1), Lifecycle: "up"})
+			}
+			u := n.dir.Reduce(l)
+			at := time.Now()
+			n.list(discovery.Event{Update: u, News: true})
+			least = min(least, time.Since(at))
+		}
+		return least
+	}
+	if none, many := cost(0), cost(5000); many > 4*none+20*time.Millisecond {
+		t.Errorf("%v with no calls out, %v with 5000", none, many)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -604,15 +604,15 @@
 	if len(rows) == 0 {
 		return
 	}
+	changed := make(map[logic.EndpointID]logic.Readiness, len(rows))
+	for _, row := range rows {
+		changed[row.Endpoint] = row.State
+	}
 	for _, h := range n.held {
 		if h.stop == nil {
 			continue
 		}
-		i := slices.IndexFunc(rows, func(r logic.Entry) bool { return r.Endpoint == h.call.ep })
-		state, ok := logic.Ready, i >= 0
-		if ok {
-			state = rows[i].State
-		}
+		state, ok := changed[h.call.ep]
 		if to := n.target(h.call.ep); ok && (state != logic.Ready || h.call.addr != to.Addr || h.call.dest != to.Dest) {
 			h.hold() // else it would connect to where the endpoint was
 		}
