--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -27,8 +27,8 @@
 	return nil
 }
 
-// row is an Instance that is being read: it is used again for the next one.
-type row struct {
+// rowText is an Instance that is being read: it is used again for the next one.
+type rowText struct {
 	ID        text    `json:"instanceId"`
 	HostPort  text    `json:"hostPort"`
 	Zone      text    `json:"zone"`
@@ -38,7 +38,7 @@
 	Weight    float64 `json:"weight"`
 }
 
-func (r *row) reset() {
+func (r *rowText) reset() {
 	r.ID, r.HostPort, r.Zone, r.Kind, r.Lifecycle = r.ID[:0], r.HostPort[:0], r.Zone[:0], r.Kind[:0], r.Lifecycle[:0]
 	r.Dest, r.Weight = 0, 0
 }
@@ -46,10 +46,10 @@
 // Reduce turns a list into an update.
 func (d *Directory) Reduce(l List) Update {
 	c := d.compare()
-	var r row
+	var r rowText
 	for i := range l.Instances {
 		in := &l.Instances[i]
-		r = row{append(r.ID[:0], in.ID...), append(r.HostPort[:0], in.HostPort...), append(r.Zone[:0], in.Zone...),
+		r = rowText{append(r.ID[:0], in.ID...), append(r.HostPort[:0], in.HostPort...), append(r.Zone[:0], in.Zone...),
 			append(r.Kind[:0], in.Kind...), in.Dest, append(r.Lifecycle[:0], in.Lifecycle...), in.Weight}
 		c.add(&r, true)
 	}
@@ -173,7 +173,7 @@
 	if t != json.Delim('[') {
 		return false, fmt.Errorf("instances are %v", t)
 	}
-	var r row
+	var r rowText
 	for dec.More() {
 		r.reset()
 		err := dec.Decode(&r)
@@ -188,7 +188,7 @@
 }
 
 // add takes a row. One that makes no sense leaves what it names as it was.
-func (c *comparison) add(r *row, sound bool) {
+func (c *comparison) add(r *rowText, sound bool) {
 	c.count++
 	c.d.mu.RLock()
 	defer c.d.mu.RUnlock()
@@ -238,7 +238,7 @@
 }
 
 // differs says whether a row tells anything new of a record, which may be nil.
-func (d *Directory) differs(old *record, r *row) bool {
+func (d *Directory) differs(old *record, r *rowText) bool {
 	now := stateOf(string(r.Lifecycle))
 	if old == nil || old.state != now || now == unlisted {
 		return now != unlisted || old != nil && old.state != unlisted
@@ -248,7 +248,7 @@
 }
 
 // instance is a row that is kept.
-func (c *comparison) instance(r *row) Instance {
+func (c *comparison) instance(r *rowText) Instance {
 	return Instance{ID: string(r.ID), HostPort: string(r.HostPort), Zone: c.word(r.Zone), Kind: c.word(r.Kind), Dest: r.Dest,
 		Lifecycle: stateOf(string(r.Lifecycle)).lifecycle(), Weight: r.Weight}
 }
