--- /dev/null
+++ b/logic/size_test.go
@@ -0,0 +1,141 @@
+package logic
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+)
+
+// bigList lists destinations with a number of endpoints each.
+func bigList(dests, each int) Endpoints {
+	ev := Endpoints{Form: ListFull, Entries: make([]Entry, 0, dests*each)}
+	for d := range dests {
+		for e := range each {
+			ev.Entries = append(ev.Entries, Entry{Endpoint: EndpointID(d*each + e + 1), Dest: int64(d), Zone: e % 6, Nominal: 30})
+		}
+	}
+	return ev
+}
+
+// bigSettings are those of one sender of the target: 540 senders, six zones.
+func bigSettings() Settings {
+	set := base()
+	set.Senders, set.Zones, set.Slots, set.MaxOpen, set.ConnCalls, set.ConnIdle = 540, 6, 4000, 20_000, 1, 10*Second
+	set.Weights = WeightsNominal
+	return set
+}
+
+func heap() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
+// traffic makes each destination serve some messages, 50 s apart, as the target has it at one sender.
+func traffic(s *Sender, now Micros, dests, rounds int) Micros {
+	id := 0
+	for range rounds {
+		gap := 50 * Second / Micros(dests)
+		for d := range dests {
+			now += gap
+			id++
+			call := Call{ID: fmt.Sprint(id), Left: 10 * Second, Dest: int64(d), Tenant: -1}
+			for _, c := range only[CallOut](s.Step(now, []Event{call})) {
+				took := 20_000 + Micros(id*7919%60_000)
+				s.Step(now+took/1000, []Event{Reply{ID: c.ID, Endpoint: c.Endpoint, Outcome: Completed, NoMore: true, Took: took}})
+			}
+		}
+	}
+	return now
+}
+
+// BenchmarkDestinations reports what the module holds for a destination, on the list only and with traffic of 0.02
+// messages a second at each.
+func BenchmarkDestinations(b *testing.B) {
+	for _, dests := range []int{1000, 10_000, 50_000, 100_000} {
+		for _, each := range []int{1, 2} {
+			for _, rounds := range []int{0, 4} {
+				b.Run(fmt.Sprintf("dests=%d/endpoints=%d/rounds=%d", dests, each, rounds), func(b *testing.B) {
+					set, list := bigSettings(), bigList(dests, each)
+					for b.Loop() {
+						b.StopTimer()
+						before := heap()
+						b.StartTimer()
+						s, err := New(set, 1)
+						if err != nil {
+							b.Fatal(err)
+						}
+						s.Step(0, []Event{list})
+						b.StopTimer()
+						traffic(s, 0, dests, rounds)
+						b.ReportMetric(float64(heap()-before)/float64(dests), "B/dest")
+						runtime.KeepAlive(s)
+						b.StartTimer()
+					}
+				})
+			}
+		}
+	}
+}
+
+// BenchmarkChange is one change of the list, and BenchmarkWhole a whole list that changes nothing.
+func BenchmarkChange(b *testing.B) {
+	for _, dests := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("dests=%d", dests), func(b *testing.B) {
+			s, err := New(bigSettings(), 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			list := bigList(dests, 2)
+			s.Step(0, []Event{list})
+			now := Micros(0)
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now += 1000
+				row := list.Entries[i*7919%len(list.Entries)]
+				row.State = Readiness(i % 3)
+				s.Step(now, []Event{Endpoints{Form: ListDelta, Entries: []Entry{row}}})
+			}
+		})
+	}
+}
+
+func BenchmarkWhole(b *testing.B) {
+	for _, dests := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("dests=%d", dests), func(b *testing.B) {
+			s, err := New(bigSettings(), 1)
+			if err != nil {
+				b.Fatal(err)
+			}
+			list := bigList(dests, 2)
+			b.ReportAllocs()
+			for b.Loop() {
+				s.Step(0, []Event{list})
+			}
+		})
+	}
+}
+
+// BenchmarkOneDestination is a list with all of its entries at one destination, which no list should have.
+func BenchmarkOneDestination(b *testing.B) {
+	for _, n := range []int{1000, 10_000, 100_000} {
+		b.Run(fmt.Sprintf("endpoints=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				s, err := New(bigSettings(), 1)
+				if err != nil {
+					b.Fatal(err)
+				}
+				s.Step(0, []Event{bigList(1, n)})
+				s.Step(1, []Event{Call{ID: "a", Left: 10 * Second, Tenant: -1}})
+				gone := bigList(1, n)
+				gone.Form = ListDelta
+				for i := range gone.Entries {
+					gone.Entries[i].State = Gone
+				}
+				s.Step(2, []Event{gone})
+			}
+		})
+	}
+}
