Module: half the memory for a destination, and whole lists and one big destination in one pass

Symptom: the module held 961 B for a destination with one endpoint on the list, 1,281 B for one with two and traffic: 128 MB of a sender's 256 MB for control at 100,000. A list with 10,000 entries at one destination took 0.35 s, growing with their square; a whole list cloned every destination's.

Cause: a dense histogram of 49 weights for each destination, wide fields, and a call object kept for each endpoint that was ever called. Looks for a cold or suspect sibling, and for what to take off the list, went through all endpoints of a destination for each of them.

Change: a histogram holds the bins from the lowest to the highest in use, allocated at the first sample; two destinations are looked at with each message, and what the next message would drop as aged is dropped. Fields are ordered and as wide as needed. A destination where nothing was ever cold or suspect is not searched for that. A whole list marks what it keeps and takes off the rest in one pass; so do runs of removals. Messages are counted by destination instead of gathered when the tables are pruned.

--- a/logic/handover.go
+++ b/logic/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 )
 
@@ -112,10 +113,26 @@
 	return s.out
 }
 
-func (h *hist) save() savedHist { return savedHist{W: h.w, Total: h.total, Cuts: h.cuts, At: h.at} }
+func (h *hist) save() savedHist {
+	x := savedHist{Total: h.total, Cuts: h.cuts, At: h.at}
+	for i := range x.W {
+		x.W[i] = h.bins.at(i)
+	}
+	return x
+}
 
 func (x savedHist) hist() hist {
-	h := hist{w: x.W, total: x.Total, cuts: x.Cuts, at: x.At}
+	h := hist{total: x.Total, cuts: x.Cuts, at: x.At}
+	low, end := 0, len(x.W)
+	for low < end && x.W[low] == 0 {
+		low++
+	}
+	for end > low && x.W[end-1] == 0 {
+		end--
+	}
+	if low < end {
+		h.bins = &bins{low, slices.Clone(x.W[low:end])}
+	}
 	if h.total+max(h.cuts, 0) > 0 {
 		h.update()
 	}
@@ -124,12 +141,12 @@
 
 func (l *lane) save() savedLane {
 	return savedLane{Limit: l.limit, Left: l.left, Pace: l.pace, Tokens: l.tokens, Peak: l.peak, Phase: l.phase, Told: l.told,
-		Halved: l.halved, Filled: l.filled, Until: l.until, FirstFull: l.firstFull, Fulls: l.fulls, Sent: l.sent}
+		Halved: l.halved, Filled: l.filled, Until: l.until, FirstFull: l.firstFull, Fulls: int(l.fulls), Sent: l.sent}
 }
 
 func (x savedLane) lane() *lane {
 	return &lane{limit: x.Limit, left: x.Left, pace: x.Pace, tokens: x.Tokens, peak: x.Peak, phase: x.Phase, told: x.Told,
-		halved: x.Halved, filled: x.Filled, until: x.Until, firstFull: x.FirstFull, fulls: x.Fulls, sent: x.Sent}
+		halved: x.Halved, filled: x.Filled, until: x.Until, firstFull: x.FirstFull, fulls: uint16(min(max(x.Fulls, 0), math.MaxUint16)), sent: x.Sent}
 }
 
 // Save returns the state. The Sender must not be used afterwards, unless nobody goes on in its place.
@@ -143,8 +160,8 @@
 		out.Usage = append(out.Usage, savedUsage{u.n, u.at})
 	}
 	for _, d := range s.order {
-		x := savedDest{ID: d.id, Kind: d.kind, Next: d.next, Lane: d.lane.save(), Hist: d.hist.save(), Used: d.used,
-			DownAt: d.downAt, Came: d.came}
+		x := savedDest{ID: d.id, Kind: int(d.kind), Next: d.next, Lane: d.lane.save(), Hist: d.hist.save(), Used: d.used,
+			DownAt: d.downAt, Came: int(d.came)}
 		for _, e := range d.eps {
 			x.Listed = append(x.Listed, e.id)
 		}
@@ -152,8 +169,8 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(s.eps)) {
 		e := s.eps[id]
-		x := savedEndpoint{ID: e.id, Zone: e.zone, State: e.state, Dest: e.dest.id, Sent: e.sent, Bad: e.bad,
-			Slow: e.slow, Fails: e.fails, Fulls: e.fulls, Suspect: e.suspect, Cold: e.cold, LastOK: e.lastOK,
+		x := savedEndpoint{ID: e.id, Zone: int(e.zone), State: e.state, Dest: e.dest.id, Sent: e.sent, Bad: e.bad,
+			Slow: e.slow, Fails: int(e.fails), Fulls: int(e.fulls), Suspect: e.suspect, Cold: e.cold, LastOK: e.lastOK,
 			LastBad: e.lastBad, Well: e.well, BackAt: e.backAt, TrialAt: e.trialAt, LastSent: e.lastSent,
 			Warm: e.warm, TrialGap: e.trialGap}
 		if e.lane != e.dest.lane {
@@ -176,7 +193,7 @@
 		m := s.msgs[id]
 		x := savedMsg{ID: m.id, Class: m.ci, Seq: m.seq, Tries: m.tries, Cuts: m.cuts, Share: m.share, Dest: m.dest.id,
 			First: m.first, Deadline: m.deadline, FirstMay: m.firstMay, Rest: m.rest, MayRun: m.mayRun, Over: m.over,
-			Flows: m.flows, MayZone: m.mayZone, Untried: m.untried, Half: m.half, Chance: m.chance}
+			Flows: m.flows, MayZone: int(m.mayZone), Untried: m.untried, Half: m.half, Chance: m.chance}
 		if m.last != nil {
 			x.Last, x.HasLast = m.last.id, true
 		}
@@ -220,18 +237,19 @@
 	}
 	for _, sd := range x.Dests {
 		d := s.dest(sd.ID)
-		d.kind, d.next, d.lane, d.hist = sd.Kind, sd.Next, sd.Lane.lane(), sd.Hist.hist()
-		d.used, d.downAt, d.came = sd.Used, sd.DownAt, sd.Came
+		d.kind, d.next, d.lane, d.hist = int32(sd.Kind), sd.Next, sd.Lane.lane(), sd.Hist.hist()
+		d.used, d.downAt, d.came = sd.Used, sd.DownAt, int32(sd.Came)
 	}
 	for _, se := range x.Endpoints {
 		d := s.dest(se.Dest)
-		e := &endpoint{id: se.ID, zone: se.Zone, state: se.State, dest: d, lane: d.lane, sent: se.Sent, bad: se.Bad,
-			slow: se.Slow, fails: se.Fails, fulls: se.Fulls, suspect: se.Suspect, cold: se.Cold, lastOK: se.LastOK,
+		e := &endpoint{id: se.ID, zone: int32(se.Zone), state: se.State, dest: d, lane: d.lane, sent: se.Sent, bad: se.Bad,
+			slow: se.Slow, fails: int32(se.Fails), fulls: int32(se.Fulls), suspect: se.Suspect, cold: se.Cold, lastOK: se.LastOK,
 			lastBad: se.LastBad, well: se.Well, backAt: se.BackAt, trialAt: se.TrialAt, lastSent: se.LastSent,
 			warm: se.Warm, trialGap: se.TrialGap}
 		if se.Lane != nil {
 			e.lane = se.Lane.lane()
 		}
+		d.hurt = d.hurt || e.cold || e.suspect
 		s.eps[e.id] = e
 	}
 	for _, sd := range x.Dests {
@@ -253,12 +271,15 @@
 		}
 		m := &msg{id: sm.ID, class: &s.set.Classes[sm.Class], ci: sm.Class, share: sm.Share, dest: s.dest(sm.Dest),
 			seq: sm.Seq, first: sm.First, deadline: sm.Deadline, tries: sm.Tries, cuts: sm.Cuts, mayRun: sm.MayRun,
-			firstMay: sm.FirstMay, mayZone: sm.MayZone, rest: sm.Rest, over: sm.Over, flows: sm.Flows, untried: sm.Untried,
+			firstMay: sm.FirstMay, mayZone: int32(sm.MayZone), rest: sm.Rest, over: sm.Over, flows: sm.Flows, untried: sm.Untried,
 			half: sm.Half, chance: sm.Chance}
 		if sm.HasLast {
 			m.last = s.eps[sm.Last]
 		}
-		s.msgs[m.id] = m
+		if s.msgs[m.id] == nil {
+			m.dest.msgs++
+			s.msgs[m.id] = m
+		}
 	}
 	for _, id := range x.Held {
 		if m := s.msgs[id]; m != nil {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -17,6 +17,7 @@
 	binBase    = 2000        // ours: upper edge of the first bin, microseconds
 	binRatio   = 1.25        // ours: each edge over the one before; finer bins need more samples
 	binCount   = 48          // ours: the last edge lies near 70 s
+	binLeast   = 0x1p-80     // ours: a bin with less, 40 minutes after its last sample, counts as empty
 	minWeight  = 4.0         // ours: samples before a histogram is believed
 	tauWeight  = 12.0        // ours: samples before τ is; an early τ cuts healthy calls
 	tauGain    = 0.85        // ours: ⟨t⟩ at τ must be under this part of ⟨t⟩ of waiting; noise reaches 0.9
@@ -79,6 +80,7 @@
 	askApart   = 4 * Second // ours: their longest: what changes counts as told after 6 s
 	logMost    = 200        // ours: log lines in a life
 	tableLeast = 256        // ours: entries that a table may hold before any is dropped
+	sweepStep  = 2          // ours: destinations looked at with each message for what has aged
 	lastPart   = 0.15       // ours: part of a message's time in which one found untried goes past the pace
 	awayTime   = 1500_000   // ours: from a stop until the next start can send
 	never      = Micros(math.MaxInt64)
@@ -148,8 +150,8 @@
 	if ev.Form != ListDelta {
 		s.keepOnly(ev.Entries)
 	}
-	for _, row := range ev.Entries {
-		s.entry(row)
+	for rows := s.unlistAll(ev.Entries); len(rows) > 0; rows = s.unlistAll(rows[1:]) {
+		s.entry(rows[0])
 	}
 }
 
@@ -178,7 +180,7 @@
 		return
 	}
 	d := s.dest(row.Dest)
-	d.kind = row.Kind
+	d.kind = int32(row.Kind)
 	if e == nil || e.dest != d {
 		if e != nil {
 			s.unlist(e)
@@ -190,8 +192,8 @@
 		}
 		s.eps[e.id] = e
 		// A machine that joins a destination in trouble is as cold as the others: what topples it is shared.
-		for _, x := range d.eps {
-			if x.cold && e.lane == x.lane {
+		for i := len(d.eps) - 1; i >= 0 && d.hurt && !e.cold; i-- {
+			if x := d.eps[i]; x.cold && e.lane == x.lane {
 				e.cold, e.suspect, e.backAt, e.trialAt, e.lastBad = true, x.suspect, x.backAt, x.trialAt, x.lastBad
 			}
 		}
@@ -202,7 +204,7 @@
 			d.next = s.rng.IntN(len(d.eps))
 		}
 	}
-	e.zone, e.state = row.Zone, row.State
+	e.zone, e.state = int32(row.Zone), row.State
 	if s.set.Weights != WeightsOff && row.Nominal > 0 && row.Nominal <= mostRate && !e.lane.told {
 		e.lane.limit = max(row.Nominal, leastRate)
 	}
@@ -340,7 +342,7 @@
 		if !s.joins(e) {
 			r++ // a call that leaves anyway comes first
 		}
-		if s.many && (s.now >= e.warm || e.inflight >= max(s.set.ConnCalls, 1)) {
+		if s.many && (s.now >= e.warm || int(e.inflight) >= max(s.set.ConnCalls, 1)) {
 			r++ // among many senders connections rarely last until the rotation comes round again
 		}
 		if e == m.last {
@@ -367,7 +369,7 @@
 }
 
 func (s *Sender) launch(m *msg, e *endpoint) {
-	cold := s.now >= e.warm || e.inflight >= max(s.set.ConnCalls, 1) // needs a new connection
+	cold := s.now >= e.warm || int(e.inflight) >= max(s.set.ConnCalls, 1) // needs a new connection
 	if !s.joins(e) {
 		e.open = &call{step: s.step}
 		s.busy++
@@ -431,7 +433,7 @@
 	if s.joins(e) {
 		return true, 0
 	}
-	if s.busy >= s.set.Slots || e.lane.inflight >= (s.set.Slots+1)/2 { // slots
+	if s.busy >= s.set.Slots || int(e.lane.inflight) >= (s.set.Slots+1)/2 { // slots
 		return false, never
 	}
 	if at := s.health(m, e); at > s.now {
@@ -509,7 +511,7 @@
 		return m.first + m.class.Aim
 	}
 	// Outages mostly take all endpoints: after one has failed, the others are tried singly until they answer.
-	if e.inflight > 0 && e.lane == e.dest.lane {
+	if e.inflight > 0 && e.dest.hurt && e.lane == e.dest.lane {
 		for _, x := range e.dest.eps {
 			if x.suspect && x.lastBad > e.lastOK {
 				return never
@@ -525,9 +527,9 @@
 	if e.cold && !e.suspect && s.now >= e.backAt+s.set.WarmAfter {
 		e.cold = false
 	}
-	if !e.cold && !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
+	if !e.cold && !(e.dest.hurt && slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
 		return x.cold && x.lane == e.lane && x.lastBad > e.well // e did not answer while x was out
-	}) {
+	})) {
 		return 0
 	}
 	up, cold, last, long := 1.0, 0, []Micros(nil), s.set.FallWindow
@@ -672,14 +674,12 @@
 func (h *hist) add(now, took Micros, cut bool) {
 	f := math.Exp2(-float64(now-h.at) / float64(halfLife))
 	h.at = now
-	for i := range h.w {
-		h.w[i] *= f
-	}
+	h.bins.fade(f)
 	h.total, h.cuts = h.total*f, h.cuts*f
 	if cut {
 		h.cuts++
 	} else {
-		h.w[bin(took)]++
+		h.put(bin(took))
 		h.total++
 	}
 	h.update()
@@ -696,8 +696,9 @@
 		if i > 0 {
 			low = edges[i-1]
 		}
-		m0 += h.w[i]
-		m1 += h.w[i] * float64(low+edge) / 2
+		w := h.bins.at(i)
+		m0 += w
+		m1 += w * float64(low+edge) / 2
 		if h.median == 0 && m0 >= h.total/2 {
 			h.median = edge
 		}
@@ -821,7 +822,8 @@
 	}
 	a, e := m.out, m.out.ep
 	lastOfCall := s.landed(a)
-	x, known := s.turned[e.dest.kind]
+	kind := int(e.dest.kind)
+	x, known := s.turned[kind]
 	if s.many && !known {
 		x = turnFirst
 	}
@@ -829,7 +831,7 @@
 	if r.Outcome == Full && !s.unseen(r) {
 		x += turnAlpha
 	}
-	s.turned[e.dest.kind] = x
+	s.turned[kind] = x
 	s.roomy(a, r)
 	s.report(e, r.Load)
 	if r.Outcome != Full && r.Outcome != RefusedConn && r.Outcome != Moot {
@@ -915,7 +917,7 @@
 
 // roomy notes what an attempt tells of the room for connections at a kind.
 func (s *Sender) roomy(a *attempt, r Reply) {
-	switch k := a.ep.dest.kind; {
+	switch k := int(a.ep.dest.kind); {
 	case s.unseen(r) || s.set.ReportLimit < 0 && r.Outcome == Full && r.Wait == 0:
 		s.room[k] = -crowdRest
 	case a.dialed:
@@ -926,7 +928,7 @@
 // keeps says whether an idle connection is kept. Who keeps one meets no refusal, so that a fleet in which all
 // keep theirs learns too late that it fills a kind: each keeps the more, the more new ones were let in.
 func (s *Sender) keeps(e *endpoint) bool {
-	n := float64(s.room[e.dest.kind])
+	n := float64(s.room[int(e.dest.kind)])
 	return n > 0 && s.rng.Float64() < n/(n+crowdDoubt)
 }
 
@@ -934,7 +936,7 @@
 // again, by clients too, use up limits that count refusals. While the kind turns few away, a message rests
 // for a part of its time left, so that clumps spread; with more, only the worthier do.
 func (s *Sender) again(m *msg, e *endpoint) {
-	x := s.turned[e.dest.kind]
+	x := s.turned[int(e.dest.kind)]
 	if x > turnShare*m.class.Worth/s.meanWorth {
 		s.do(Fail{ID: m.id})
 		s.close(m)
@@ -957,7 +959,7 @@
 		e.bad = min(e.bad, s.stray) // what failed in the outage is dealt with: one break more is no new one
 	}
 	// An answer while a sibling is out shows that e is well; one after its return may be of the return itself.
-	if !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
+	if !e.dest.hurt || !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
 		return x.cold && !x.suspect && x.lane == e.lane && x.lastBad > e.well
 	}) {
 		e.well = max(e.well, sent)
@@ -995,7 +997,10 @@
 func (s *Sender) full(e *endpoint, wait Micros) {
 	e.fulls++
 	l := e.lane
-	if l.fulls++; l.fulls == 1 {
+	if l.fulls < math.MaxUint16 {
+		l.fulls++
+	}
+	if l.fulls == 1 {
 		l.firstFull = s.now
 	}
 	if e.suspect || wait > longWait || (l.fulls >= fullsDown || s.many && l.fulls > 1) &&
@@ -1014,7 +1019,7 @@
 // chill counts e as cold: budgeted until some time after its return.
 func (s *Sender) chill(e *endpoint) {
 	if !e.cold {
-		e.cold = true
+		e.cold, e.dest.hurt = true, true
 		e.dest.came, e.dest.downAt = 1, s.now
 	}
 }
@@ -1023,7 +1028,7 @@
 	if !e.suspect {
 		s.log("endpoint %d of %d out: %s; %d failures in a row, share %.2f, stray %.3f, answered %.2f s ago",
 			e.id, e.dest.id, how, e.fails, e.bad, s.stray, seconds(min(s.now-e.lastOK, 99*Second)))
-		e.suspect, e.trialGap, e.trialAt = true, trialGap, s.now+trialGap
+		e.suspect, e.trialGap, e.trialAt, e.dest.hurt = true, trialGap, s.now+trialGap, true
 	}
 }
 
@@ -1072,7 +1077,7 @@
 	}
 	m.tries = p.Tries
 	if m.mayRun = p.MayRun; m.mayRun {
-		m.firstMay, m.mayZone = s.now-p.Age, p.Zone
+		m.firstMay, m.mayZone = s.now-p.Age, int32(p.Zone)
 	}
 	s.endIfStuck(m)
 }
--- a/logic/size_test.go
+++ b/logic/size_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"runtime"
 	"testing"
 )
@@ -139,3 +141,91 @@
 		})
 	}
 }
+
+// TestDestinationsStaySmall bounds what the module holds for a destination with two endpoints, called now and then: a
+// fifth of a sender's 256 MB for control at 100,000, with half as much again for what the list grows by.
+func TestDestinationsStaySmall(t *testing.T) {
+	const dests, most = 20_000, 900
+	list := bigList(dests, 2)
+	before := heap()
+	s, err := New(bigSettings(), 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Step(0, []Event{list})
+	now := traffic(s, 0, dests, 4)
+	if n := (int64(heap()) - int64(before)) / dests; n > most {
+		t.Errorf("%d B a destination, want at most %d", n, most)
+	}
+	// What was learned goes once it has aged, though no message comes for most of them.
+	learned := func() (n int) {
+		for _, d := range s.order {
+			if d.hist.bins != nil {
+				n++
+			}
+		}
+		return n
+	}
+	if n := learned(); n != dests {
+		t.Errorf("%d destinations have learned something after traffic, want all %d", n, dests)
+	}
+	now += idleAge
+	for i := range dests {
+		s.Step(now, []Event{Call{ID: fmt.Sprint("x", i), Left: 10 * Second, Dest: 0, Tenant: -1}, ClientGone{ID: fmt.Sprint("x", i)}})
+	}
+	if n := learned(); n > 1 {
+		t.Errorf("%d destinations have kept what has aged", n)
+	}
+	runtime.KeepAlive(list)
+}
+
+// denseHist is the histogram with all of its bins.
+type denseHist struct {
+	w [binCount + 1]float64
+	hist
+}
+
+func (h *denseHist) add(now, took Micros, cut bool) {
+	f := math.Exp2(-float64(now-h.at) / float64(halfLife))
+	h.at = now
+	for i := range h.w {
+		h.w[i] *= f
+	}
+	h.total, h.cuts = h.total*f, h.cuts*f
+	if cut {
+		h.cuts++
+	} else {
+		h.w[bin(took)]++
+		h.total++
+	}
+	h.bins = &bins{0, h.w[:]}
+	h.update()
+}
+
+// Bins that are not kept change nothing that is read of a histogram.
+func TestSparseHistogram(t *testing.T) {
+	for seed := range uint64(20) {
+		rnd := rand.New(rand.NewPCG(seed, 3))
+		var dense denseHist
+		var sparse hist
+		now := Micros(rnd.Int64N(int64(1000 * Second)))
+		for i := range 5000 {
+			gap := Micros(rnd.ExpFloat64() * float64(Second) * []float64{0.01, 1, 30}[seed%3])
+			if rnd.IntN(1000) == 0 {
+				gap = idleAge * Micros(rnd.IntN(40))
+			}
+			now += gap
+			took, cut := Micros(rnd.ExpFloat64()*50_000), rnd.IntN(15) == 0
+			if rnd.IntN(50) == 0 {
+				took = Micros(rnd.Int64N(int64(100 * Second)))
+			}
+			dense.add(now, took, cut)
+			sparse.add(now, took, cut)
+			believed := dense.total >= minWeight
+			if sparse.total != dense.total || sparse.cuts != dense.cuts || sparse.tau != dense.tau ||
+				believed && (sparse.median != dense.median || sparse.p95 != dense.p95) {
+				t.Fatalf("seed %d, sample %d: %+v, with all bins %+v", seed, i, sparse, dense.hist)
+			}
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -12,50 +12,53 @@
 // dest is a destination. Its lane is the limit that its endpoints share; routes apart have one each.
 type dest struct {
 	id     int64
-	kind   int
 	eps    []*endpoint // listed, in list order
-	next   int         // rotation of first sends
 	lane   *lane
 	hist   hist
 	used   Micros
-	came   int     // messages since the last outage began
-	downAt Micros  // when that was seen
+	downAt Micros  // when the last outage was seen
 	rank   float64 // messages ahead in the pass at hand
+	next   int     // rotation of first sends
+	kind   int32
+	came   int32 // messages since the last outage began
+	msgs   int32 // messages in the books
+	hurt   bool  // an endpoint of it was cold or suspect once
 }
 
 type lane struct {
 	limit     float64 // calls a second for all senders, as told; 0 if not
-	told      bool    // limit came in a report
 	left      float64 // share of the limit that is left, as told last
 	pace      float64 // 0: free
 	halved    Micros
 	tokens    float64
 	filled    Micros
 	until     Micros // told wait
-	inflight  int
-	fulls     int // in a row
 	firstFull Micros
 	sent      []Micros
 	peak      float64
 	phase     float64 // 0 to 1, drawn at each call: sets the next one apart from those of other senders
+	inflight  int32
+	fulls     uint16 // in a row
+	told      bool   // limit came in a report
 }
 
 type endpoint struct {
 	id                EndpointID
-	zone              int
+	zone              int32
+	fails, fulls      int32 // in a row
+	inflight          int32
 	state             Readiness
+	suspect           bool // out, as far as we know
+	cold              bool // was out; budgeted until backAt+WarmAfter
+	kept              bool // on the whole list at hand
 	dest              *dest
 	lane              *lane
 	sent              []Micros
 	bad               float64
-	fails, fulls      int // in a row
 	lastOK, lastBad   Micros
 	well              Micros // last answer that shows it to be well for itself
-	suspect           bool   // out, as far as we know
-	cold              bool   // was out; budgeted until backAt+WarmAfter
 	backAt            Micros
 	trialAt, trialGap Micros
-	inflight          int
 	slow              float64 // smoothed latency, microseconds
 	lastSent          Micros
 	goneAt            Micros
@@ -92,7 +95,7 @@
 	out      *attempt
 	mayRun   bool
 	firstMay Micros // send of the first attempt that may have run
-	mayZone  int
+	mayZone  int32
 	last     *endpoint
 	rest     Micros
 	line     *keyLine
@@ -148,6 +151,7 @@
 	usage     []usage // by tenant
 	keys      map[string]*keyLine
 	most      [3]int // eps, dests and keys when they are next looked through
+	swept     int    // place in order of the last destination that sweep looked at
 	wake      Micros // when something is next to be done
 	timer     Micros // when the last timer set goes off; 0 if none is out
 	askAt     Micros // when to ask for the list; never if asked
@@ -167,7 +171,7 @@
 
 // hist is a discounted latency histogram.
 type hist struct {
-	w      [binCount + 1]float64 // the last bin holds what lasted past every edge
+	bins   *bins // nil: all nought
 	total  float64
 	cuts   float64
 	at     Micros
@@ -176,6 +180,56 @@
 	p95    Micros
 }
 
+// bins are the weights from the lowest bin in use to the highest. A destination's latencies lie close
+// together, and a sender of many sees few of them.
+type bins struct {
+	low int
+	w   []float64
+}
+
+// at is the weight of a bin. The last bin holds what lasted past every edge.
+func (b *bins) at(i int) float64 {
+	if b == nil || i < b.low || i >= b.low+len(b.w) {
+		return 0
+	}
+	return b.w[i-b.low]
+}
+
+// fade discounts all weights and gives up those at the ends that come to nothing: less than binLeast changes
+// no sum that is believed.
+func (b *bins) fade(f float64) {
+	if b == nil {
+		return
+	}
+	for i := range b.w {
+		b.w[i] *= f
+	}
+	for len(b.w) > 0 && b.w[0] < binLeast {
+		b.w = b.w[1:]
+		b.low++
+	}
+	for len(b.w) > 0 && b.w[len(b.w)-1] < binLeast {
+		b.w = b.w[:len(b.w)-1]
+	}
+}
+
+// put adds a sample.
+func (h *hist) put(i int) {
+	if h.bins == nil {
+		h.bins = &bins{}
+	}
+	b := h.bins
+	switch low, end := min(b.low, i), max(b.low+len(b.w), i+1); {
+	case len(b.w) == 0:
+		b.low, b.w = i, make([]float64, 1)
+	case end-low > len(b.w):
+		w := make([]float64, end-low)
+		copy(w[b.low-low:], b.w)
+		b.low, b.w = low, w
+	}
+	b.w[i-b.low]++
+}
+
 func (s *Sender) do(a Action) { s.out = append(s.out, a) }
 
 func (s *Sender) at(t Micros) { s.wake = min(s.wake, t) }
@@ -185,6 +239,28 @@
 	e.dest.eps = slices.DeleteFunc(e.dest.eps, func(x *endpoint) bool { return x == e })
 }
 
+// unlistAll takes what the leading entries say is gone off the list, each destination in one pass, and
+// returns the entries that follow.
+func (s *Sender) unlistAll(rows []Entry) []Entry {
+	n := 0
+	for n < len(rows) && rows[n].State == Gone {
+		n++
+	}
+	if n < 2 {
+		return rows
+	}
+	of := map[*dest]bool{}
+	for _, row := range rows[:n] {
+		if e := s.eps[row.Endpoint]; e != nil {
+			e.state, e.goneAt, of[e.dest] = Gone, s.now, true
+		}
+	}
+	for d := range of {
+		d.eps = slices.DeleteFunc(d.eps, func(e *endpoint) bool { return e.state == Gone })
+	}
+	return rows[n:]
+}
+
 func (s *Sender) dest(id int64) *dest {
 	d := s.dests[id]
 	if d == nil {
@@ -204,7 +280,7 @@
 }
 
 func (s *Sender) kind(d *dest) Kind {
-	if d.kind >= 0 && d.kind < len(s.set.Kinds) {
+	if d.kind >= 0 && int(d.kind) < len(s.set.Kinds) {
 		return s.set.Kinds[d.kind]
 	}
 	return Kind{}
@@ -265,7 +341,10 @@
 	if m.out != nil {
 		return
 	}
-	delete(s.msgs, m.id)
+	if s.msgs[m.id] == m {
+		m.dest.msgs--
+		delete(s.msgs, m.id)
+	}
 	if l := m.line; l != nil {
 		l.q = slices.DeleteFunc(l.q, func(x *msg) bool { return x == m })
 		m.line = nil
@@ -279,6 +358,9 @@
 	if a.call.left--; a.call.left > 0 {
 		return false
 	}
+	if a.ep.open == a.call {
+		a.ep.open = nil // no step joins it any more
+	}
 	s.busy--
 	a.ep.inflight--
 	a.ep.lane.inflight--
@@ -298,12 +380,8 @@
 		s.most[0] = max(tableLeast, 2*len(s.eps))
 	}
 	if len(s.dests) > s.most[1] {
-		holds := map[*dest]bool{}
-		for _, m := range s.msgs {
-			holds[m.dest] = true
-		}
 		s.order = slices.DeleteFunc(s.order, func(d *dest) bool {
-			idle := len(d.eps) == 0 && !holds[d] && d.lane.inflight == 0 && d.used < old
+			idle := len(d.eps) == 0 && d.msgs == 0 && d.lane.inflight == 0 && d.used < old
 			if idle {
 				delete(s.dests, d.id)
 			}
@@ -321,6 +399,18 @@
 	}
 }
 
+// sweep drops what some destinations have learned that were idle for so long that the next message would
+// drop it.
+func (s *Sender) sweep() {
+	for range min(sweepStep, len(s.order)) {
+		s.swept = (s.swept + 1) % len(s.order)
+		d := s.order[s.swept]
+		if d.hist.bins != nil && d.msgs == 0 && d.lane.inflight == 0 && s.now-d.used > idleAge {
+			d.hist = hist{}
+		}
+	}
+}
+
 // joins says whether a send to e now would travel in a call that this step opens anyway.
 func (s *Sender) joins(e *endpoint) bool {
 	return e.open != nil && e.open.step == s.step && e.open.n < s.kind(e.dest).Batch
@@ -381,6 +471,7 @@
 		return
 	}
 	s.prune()
+	s.sweep()
 	class := &s.set.Classes[c.Class]
 	s.seq++
 	m := &msg{id: c.ID, class: class, ci: c.Class, dest: s.dest(c.Dest), seq: s.seq, came: s.step,
@@ -390,6 +481,7 @@
 	s.meanWorth += (class.Worth - s.meanWorth) / float64(min(s.seq, 50))
 	m.share = s.shareOf(c.Tenant)
 	s.msgs[m.id] = m
+	m.dest.msgs++
 	s.held = append(s.held, m)
 	if class.KeepOrder && c.Key != "" {
 		line := s.keys[c.Key]
@@ -405,15 +497,22 @@
 
 // keepOnly takes off the list what is not among the entries.
 func (s *Sender) keepOnly(rows []Entry) {
-	in := map[EndpointID]bool{}
 	for _, row := range rows {
-		in[row.Endpoint] = true
+		if e := s.eps[row.Endpoint]; e != nil {
+			e.kept = true
+		}
 	}
 	for _, d := range s.order {
-		for _, e := range slices.Clone(d.eps) {
-			if !in[e.id] {
-				s.unlist(e)
+		d.eps = slices.DeleteFunc(d.eps, func(e *endpoint) bool {
+			if !e.kept {
+				e.state, e.goneAt = Gone, s.now
 			}
+			return !e.kept
+		})
+	}
+	for _, row := range rows {
+		if e := s.eps[row.Endpoint]; e != nil {
+			e.kept = false
 		}
 	}
 }
--- a/logic/types.go
+++ b/logic/types.go
@@ -114,7 +114,7 @@
 type EndpointID uint32
 
 // Readiness is what the list says of an endpoint. It says nothing of health.
-type Readiness int
+type Readiness uint8
 
 // The states of a listed endpoint.
 const (
@@ -126,10 +126,10 @@
 // Entry is one line of the endpoint list.
 type Entry struct {
 	Endpoint EndpointID
+	State    Readiness
 	Zone     int
 	Kind     int
 	Dest     int64
-	State    Readiness
 	Nominal  float64
 }
 
