--- /dev/null
+++ b/internal/scale/main_test.go
@@ -0,0 +1,50 @@
+package scale
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+)
+
+// The flags of the package's tests. `.ci/scale` sets them; without them only the quick part runs and nothing is written.
+var (
+	size       = flag.String("scale", "quick", "how much is measured: quick or large")
+	outDir     = flag.String("scale.out", "", "folder for the report as JSON; empty for none")
+	commitFlag = flag.String("scale.commit", "", "short commit that runs, for the report")
+	command    = flag.String("scale.command", "go test ./internal/scale", "what was called, for the report")
+)
+
+// report is the one report of a run: every test adds to it, and it is printed and written once all are over.
+var report *Report
+
+// large says whether the large part runs. Tests of the large part alone begin with needLarge.
+func large() bool { return *size == "large" }
+
+// needLarge skips what only `.ci/scale` runs: minutes and gigabytes that have no place in an ordinary test run.
+func needLarge(t *testing.T) {
+	t.Helper()
+	if !large() {
+		t.Skip("part of the large run: .ci/scale")
+	}
+}
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	report = NewReport(*commitFlag, *command)
+	code := m.Run()
+	report.Failed = code != 0
+	if large() {
+		fmt.Print(report.Tables())
+	}
+	if *outDir != "" {
+		path, err := report.Write(*outDir)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			code = 1
+		} else {
+			fmt.Println("written:", path)
+		}
+	}
+	os.Exit(code)
+}
