--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -4,6 +4,7 @@
 	"runtime"
 	"syscall"
 	"time"
+	"unsafe"
 )
 
 // CPUTime is the processor time that this process has used so far, user and system, all threads (the garbage
@@ -24,3 +25,14 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// ThreadTime is the processor time of the calling thread so far, user and system. It says something only about a
+// goroutine that is locked to its thread. What the garbage collector does on other threads is not in it.
+func ThreadTime() time.Duration {
+	const threadClock = 3 // CLOCK_THREAD_CPUTIME_ID
+	var t syscall.Timespec
+	if _, _, errno := syscall.RawSyscall(syscall.SYS_CLOCK_GETTIME, threadClock, uintptr(unsafe.Pointer(&t)), 0); errno != 0 {
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
--- /dev/null
+++ b/internal/scale/target.go
@@ -0,0 +1,39 @@
+package scale
+
+import "crossdeal/logic"
+
+// The target, as figures for the whole fleet and for one sender of it.
+const (
+	TargetSenders      = 540
+	TargetRate         = 1.1e6 // events a second, all senders together
+	TargetDestinations = 100_000
+	TargetEntries      = 200_000                         // rows of the list, as the bound
+	TargetDown         = 0.017                           // share of the destinations that is down at any time
+	TargetChanges      = 1400                            // changes of configuration a day
+	TargetInForce      = 17                              // seconds until one is in force everywhere
+	DestRate           = TargetRate / TargetDestinations // 11 events a second at a mean destination
+	SenderRate         = TargetRate / TargetSenders      // 2,037 events a second
+	SenderRateZone     = SenderRate * 6 / 5              // with one of six zones lost: 2,444
+	SenderRateRegion   = SenderRate * 2                  // with one of two regions lost: 4,074
+	ControlCore        = 0.02                            // of a core, what a sender may spend for control
+	ControlBytes       = 256e6                           // bytes of memory, the same
+	ControlTraffic     = 9e3                             // bytes a second, the same
+	SenderBacklog      = 9.3e9 / TargetSenders           // 17.2 million events
+	// SenderEach is the events a second that one sender has for a mean destination: 0.02.
+	SenderEach = DestRate / TargetSenders
+)
+
+// Settings are those of a sender of a fleet of so many in the deployment that the measurements assume: three classes
+// that must be delivered within 10 to 14 s, one of them in the order of a key, a report of what is left of a limit
+// with each answer, slow start over 14 s from a fifth of the capacity, as many slots as the busiest second needs.
+func Settings(senders int) logic.Settings {
+	const s = logic.Second
+	return logic.Settings{Senders: senders, Zones: 6, Slots: 16_384, MaxOpen: 65_536, MaxTries: 6, Tick: 5000,
+		MayCancel: true, RetryAfter: true, Weights: logic.WeightsNominal, ReportLeft: 0, ReportLimit: 1,
+		Classes: []logic.Class{
+			{Name: "safe", Aim: s, Deadline: 10 * s, Worth: 1, LateWorth: 0.5, KeepOrder: true},
+			{Name: "keyed", Aim: 2 * s, Deadline: 12 * s, Worth: 2, LateWorth: 0.4, Effect: logic.Keyed, Window: 8 * s},
+			{Name: "unsafe", Aim: 2 * s, Deadline: 14 * s, Worth: 4, LateWorth: 0.3, Effect: logic.Unsafe}},
+		Kinds: []logic.Kind{{Name: "plain", Batch: 1}}, ConnIdle: 5 * s, ConnCalls: 8, ConnPrice: 0.06,
+		MaxRetryAfter: 2 * s, DrainGrace: s, FallMultiple: 2, FallWindow: 2 * s, ColdFrom: 0.2, WarmAfter: 14 * s}
+}
