--- a/internal/scale/main_test.go
+++ b/internal/scale/main_test.go
@@ -35,6 +35,14 @@
 	code := m.Run()
 	report.Failed = code != 0
 	if large() {
+		report.Note(Fact{Name: "run: peak memory of the test process", Unit: "B", Value: float64(PeakMemory()), Limit: 12e9})
+		report.Note(Fact{Name: "run: processor time of the test process", Unit: "s", Value: CPUTime().Seconds()})
+		if text, err := os.ReadFile("/proc/loadavg"); err == nil {
+			var load float64
+			fmt.Sscan(string(text), &load)
+			report.Note(Fact{Name: "run: load average of the machine at the end", Unit: "processes", Value: load,
+				Note: "over the machine's cores, processor times are longer: others use its caches"})
+		}
 		fmt.Print(report.Tables())
 	}
 	if *outDir != "" {
--- a/internal/scale/measure.go
+++ b/internal/scale/measure.go
@@ -17,6 +17,15 @@
 	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
+// PeakMemory is the most memory that this process has had resident so far, in bytes.
+func PeakMemory() int64 {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return u.Maxrss << 10
+}
+
 // Heap is what lives on the heap after a garbage collection, in bytes.
 func Heap() int64 {
 	var m runtime.MemStats
