--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -9,10 +9,12 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"iter"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -25,7 +27,8 @@
 const (
 	lockName     = "lock"     // in the state folder: whoever holds its lock owns the messages
 	socketName   = "handover" // beside it: where the owner hands over
-	handWord     = "take 1"   // what a successor says first; the number is that of the parcel's form
+	handWord     = "take 1"   // what a successor says first; the number is that of the form: all in one text ...
+	handRows     = "take 2"   // ... or a text, and the tables row by row
 	handTaken    = "taken\n"  // and last
 	handTime     = time.Second
 	handPause    = 50 * time.Millisecond  // before the owner is asked again
@@ -35,11 +38,17 @@
 	spareSockets = 16              // of each process: lock, journal, discovery, notices and the like
 	handBatch    = 200             // descriptors in one message; the kernel takes 253
 	mostParcel   = 64 << 20
+	textEach     = 600             // bytes of one text for each name, at least
+	mostRow      = 1 << 20         // bytes
+	handStall    = 2 * time.Second // a successor that takes nothing for so long has failed
+	handRest     = time.Second     // after a transfer that failed, before the next: each keeps the owner from its work
 )
 
 var (
 	errLocked = errors.New("another process owns the state")
 	errHanded = errors.New("handed over to a new process")
+	errForm   = errors.New("the owner does not hand over, or not in this form")
+	errBroken = errors.New("the state transfer broke off")
 )
 
 // parcel is what a process hands to its successor, beside descriptors: the lock, the listener, and then one for each
@@ -50,13 +59,16 @@
 	Module     logic.Saved
 	Discovery  string // address that Generation is of
 	Generation int64
-	IDs        map[string]logic.EndpointID
-	Targets    map[logic.EndpointID]parcelTarget
-	Recent     map[string]int64 // ids that are over, with the ends of their time
+	IDs        map[string]logic.EndpointID       `json:",omitempty"` // where all is in one text
+	Targets    map[logic.EndpointID]parcelTarget `json:",omitempty"`
+	Names      int                               `json:",omitempty"` // where they come as rows: how many
+	Recent     map[string]int64                  // ids that are over, with the ends of their time
 	Held       []parcelHeld
 	Calls      []parcelCall
 	Idle       []parcelIdle
 	Clients    []parcelClient
+
+	size int // bytes sent of it
 }
 
 type parcelTarget struct {
@@ -93,11 +105,60 @@
 // legacy is what a process has been handed: the parcel, and what its descriptors became.
 type legacy struct {
 	parcel
+	names    []listedName
 	listener net.Listener
 	conns    []net.Conn // of Calls, Idle and Clients
 	taken    func()     // says so to the process before
 }
 
+// listedName is a name with its number and target, as a row.
+type listedName struct {
+	name string
+	id   logic.EndpointID
+	to   discovery.Target
+}
+
+const rowName = 'n' // the module's rows begin with other letters
+
+func (x *listedName) row(b []byte) []byte {
+	b = append(b, rowName)
+	b = append(binary.AppendUvarint(b, uint64(len(x.name))), x.name...)
+	b = binary.AppendUvarint(b, uint64(x.id))
+	b = append(binary.AppendUvarint(b, uint64(len(x.to.Addr))), x.to.Addr...)
+	b = binary.AppendVarint(b, int64(x.to.Zone))
+	b = binary.AppendVarint(b, int64(x.to.Kind))
+	return binary.AppendVarint(b, x.to.Dest)
+}
+
+// readName is the other way round. What follows the fields is a later version's.
+func readName(row []byte) (x listedName, err error) {
+	b, bad := row[1:], false
+	number := func() uint64 {
+		v, n := binary.Uvarint(b)
+		if n <= 0 {
+			bad, n = true, 0
+		}
+		b = b[n:]
+		return v
+	}
+	signed := func() int64 { v := number(); return int64(v>>1) ^ -int64(v&1) }
+	text := func() string {
+		n := number()
+		if n > uint64(len(b)) {
+			bad, n = true, 0
+		}
+		s := string(b[:n])
+		b = b[n:]
+		return s
+	}
+	x.name, x.id = text(), logic.EndpointID(number())
+	x.to = discovery.Target{Addr: text(), Zone: int(signed()), Kind: int(signed()), Dest: signed()}
+	if bad {
+		err = errors.New("a name that makes no sense")
+	}
+	return x, err
+}
+
 // lockState makes this process the owner of the state folder, until the file is closed everywhere.
 func lockState(dir string) (*os.File, error) {
 	f, err := os.OpenFile(filepath.Join(dir, lockName), os.O_RDWR|os.O_CREATE, 0o600)
@@ -161,15 +222,20 @@
 		}
 		conn.SetDeadline(time.Now().Add(handTime))
 		line, err := bufio.NewReader(io.LimitReader(conn, orderLine)).ReadString('\n')
-		door, ok := strings.CutPrefix(strings.TrimSuffix(line, "\n"), handWord+" ")
-		if err != nil || !ok {
+		line = strings.TrimSuffix(line, "\n")
+		door, ok := strings.CutPrefix(line, handWord+" ")
+		inRows := false
+		if !ok {
+			door, inRows = strings.CutPrefix(line, handRows+" ")
+		}
+		if err != nil || !ok && !inRows {
 			n.log.Warn("handover to a process that does not ask for it in this form", "err", err)
 			conn.Close()
 			continue
 		}
 		conn.SetDeadline(time.Time{})
 		select {
-		case n.heirs <- heir{conn, door}:
+		case n.heirs <- heir{conn, door, inRows}:
 		case <-work.Done():
 			conn.Close()
 		}
@@ -178,8 +244,9 @@
 
 // heir is a process that asks to take over.
 type heir struct {
-	conn *net.UnixConn
-	door string // where operators call it; "-" if nowhere
+	conn   *net.UnixConn
+	door   string // where operators call it; "-" if nowhere
+	inRows bool   // it takes the tables row by row
 }
 
 // handOver gives all to a successor and says whether it has taken it. The loop calls it: nothing is decided meanwhile.
@@ -190,6 +257,13 @@
 	if n.closing {
 		return false // it takes over once we have ended
 	}
+	if time.Now().Before(n.handAfter) {
+		return false // all would stand still for nothing once more
+	}
+	if names := n.names(); !to.inRows && names > mostParcel/textEach {
+		n.log.Warn("too much for a handover to a process that takes all in one text: it waits for our end", "names", names)
+		return false
+	}
 	start := time.Now()
 	n.admit(errHanded)
 	n.freeze(work, start)
@@ -198,11 +272,12 @@
 		n.next = nil
 		n.carryOut(work, n.sender.Settle(micros(time.Since(n.start)), events))
 	}
-	p, conns, left := n.pack()
-	err := n.send(to.conn, p, conns, stopped)
+	p, conns, left := n.pack(to.inRows)
+	err := n.send(to, p, conns, stopped)
 	if err != nil && !errors.Is(err, errHanded) {
 		n.log.Error("handover failed, going on", "err", err)
 		n.unfreeze(work, conns, left)
+		n.handAfter = time.Now().Add(handRest)
 		return false
 	}
 	n.clients.handed(n.ln.Addr().String(), conns.clients, left)
@@ -217,7 +292,7 @@
 		n.door.handed(to.door)
 	}
 	n.log.Info("handed over", "calls", len(p.Calls), "clients", len(p.Clients), "kept", len(left), "idle", len(p.Idle),
-		"held", len(p.Held), "took", time.Since(start).String())
+		"held", len(p.Held), "bytes", p.size, "took", time.Since(start).String())
 	return true
 }
 
@@ -281,16 +356,20 @@
 
 // pack makes the parcel. Both processes together may hold so many descriptors: what goes beyond that stays here, calls
 // going first and idle connections last.
-func (n *Node) pack() (*parcel, *handConns, []net.Conn) {
-	p := &parcel{At: time.Now().UnixMicro(), Clock: micros(time.Since(n.start)), Module: n.sender.Save(),
-		Discovery: n.disc.Address(), Generation: n.generation, IDs: map[string]logic.EndpointID{}, Targets: map[logic.EndpointID]parcelTarget{},
-		Recent: map[string]int64{}}
-	for name, id := range n.dir.Names() {
-		p.IDs[name] = id
-	}
-	for _, id := range p.IDs {
-		if t, ok := n.dir.Target(id); ok {
-			p.Targets[id] = parcelTarget{t.Addr, t.Zone, t.Kind, t.Dest}
+func (n *Node) pack(inRows bool) (*parcel, *handConns, []net.Conn) {
+	p := &parcel{At: time.Now().UnixMicro(), Clock: micros(time.Since(n.start)), Discovery: n.disc.Address(),
+		Generation: n.generation, Recent: map[string]int64{}}
+	if inRows {
+		p.Module, p.Names = n.sender.SaveRest(), n.names()
+	} else {
+		p.Module, p.IDs, p.Targets = n.sender.Save(), map[string]logic.EndpointID{}, map[logic.EndpointID]parcelTarget{}
+		for name, id := range n.dir.Names() {
+			p.IDs[name] = id
+		}
+		for _, id := range p.IDs {
+			if t, ok := n.dir.Target(id); ok {
+				p.Targets[id] = parcelTarget{t.Addr, t.Zone, t.Kind, t.Dest}
+			}
 		}
 	}
 	for id, t := range n.recent {
@@ -328,11 +407,15 @@
 
 // send writes the parcel and waits until the successor has taken it or is gone. errHanded says that this process must
 // end without knowing.
-func (n *Node) send(to *net.UnixConn, p *parcel, c *handConns, stopped <-chan struct{}) error {
+func (n *Node) send(heir heir, p *parcel, c *handConns, stopped <-chan struct{}) error {
+	to := heir.conn
 	text, err := json.Marshal(p)
 	if err != nil {
 		return err
 	}
+	if len(text) > mostParcel {
+		return fmt.Errorf("a text of %d bytes", len(text))
+	}
 	fds := []int{int(n.lock.Fd())}
 	all := []syscall.Conn{n.ln.(*net.TCPListener)}
 	for _, list := range [][]*idleConn{c.calls, c.idle} {
@@ -364,7 +447,12 @@
 		}
 		fds = fds[len(part):]
 	}
-	if _, err := to.Write(text); err != nil {
+	out := bufio.NewWriterSize(patient{to, &p.size}, 1<<16)
+	out.Write(text) // an error shows at the end
+	if heir.inRows {
+		n.writeRows(out)
+	}
+	if err := out.Flush(); err != nil {
 		return err
 	}
 	heard := make(chan error, 1)
@@ -381,6 +469,93 @@
 	}
 }
 
+// patient writes as long as the other side takes something now and then.
+type patient struct {
+	*net.UnixConn
+	size *int // bytes written
+}
+
+func (c patient) Write(b []byte) (n int, err error) {
+	for n < len(b) && err == nil {
+		c.SetWriteDeadline(time.Now().Add(handStall))
+		var k int
+		k, err = c.UnixConn.Write(b[n:min(len(b), n+1<<16)])
+		n += k
+		*c.size += k
+	}
+	return n, err
+}
+
+// names counts those that have a number.
+func (n *Node) names() (count int) {
+	for range n.dir.Names() {
+		count++
+	}
+	return count
+}
+
+// writeRows writes the tables: the length of a row and the row, and nought at the end.
+func (n *Node) writeRows(out *bufio.Writer) {
+	var head, buf []byte
+	write := func(row []byte) bool {
+		head = binary.AppendUvarint(head[:0], uint64(len(row)))
+		out.Write(head)
+		_, err := out.Write(row)
+		return err == nil
+	}
+	for row := range n.sender.Rows() {
+		if !write(row) {
+			return
+		}
+	}
+	for name, id := range n.dir.Names() {
+		x := listedName{name: name, id: id}
+		x.to, _ = n.dir.Target(id)
+		buf = x.row(buf[:0])
+		if !write(buf) {
+			return
+		}
+	}
+	out.WriteByte(0)
+}
+
+// readRows yields the rows that are the module's, and keeps the names.
+func (l *legacy) readRows(from io.Reader) iter.Seq2[[]byte, error] {
+	return func(yield func([]byte, error) bool) {
+		in := bufio.NewReaderSize(from, 1<<16)
+		l.names = make([]listedName, 0, min(max(l.Names, 0), 1<<20))
+		var row []byte
+		for {
+			size, err := binary.ReadUvarint(in)
+			if err == nil && size > mostRow {
+				err = fmt.Errorf("a row of %d bytes", size)
+			}
+			if err != nil {
+				yield(nil, err)
+				return
+			}
+			if size == 0 {
+				return
+			}
+			row = slices.Grow(row[:0], int(size))[:size]
+			if _, err := io.ReadFull(in, row); err != nil {
+				yield(nil, err)
+				return
+			}
+			if row[0] == rowName {
+				x, err := readName(row)
+				if err != nil {
+					yield(nil, err)
+					return
+				}
+				l.names = append(l.names, x)
+			} else if !yield(row, nil) {
+				return
+			}
+		}
+	}
+}
+
 // unfreeze goes on with what was packed, since nobody has taken it.
 func (n *Node) unfreeze(work context.Context, c *handConns, left []net.Conn) {
 	for i, h := range c.of {
@@ -414,10 +589,16 @@
 // takeOver makes this process the owner of the state: it waits for the lock, or for the owner to hand over.
 func (n *Node) takeOver(ctx context.Context) (*legacy, error) {
 	for tries := 0; ; tries++ {
-		l, err := n.askOwner()
+		l, err := n.askOwner(handRows)
+		if errors.Is(err, errForm) {
+			l, err = n.askOwner(handWord)
+		}
 		if err == nil {
 			return l, nil
 		}
+		if errors.Is(err, errBroken) {
+			n.log.Warn("takeover", "err", err)
+		}
 		if tries == 0 {
 			n.log.Info("waiting for the owner of the state", "why", err)
 		}
@@ -432,9 +613,9 @@
 	}
 }
 
-// askOwner asks the owner of the state for all that it has. What is wrong shows before it is taken, so that the owner
+// askOwner asks the owner of the state for all that it has, with a word for the form. What is wrong shows before it is taken, so that the owner
 // goes on.
-func (n *Node) askOwner() (_ *legacy, err error) {
+func (n *Node) askOwner(word string) (_ *legacy, err error) {
 	path, d, err := socketPath(n.cfg.StateDir)
 	if err != nil {
 		return nil, err
@@ -449,11 +630,14 @@
 		door = n.door.address().String()
 	}
 	var files []*os.File
-	l := &legacy{}
+	l, begun := &legacy{}, false
 	defer func() {
 		if err == nil {
 			return
 		}
+		if begun {
+			err = fmt.Errorf("%w: %w", errBroken, err)
+		}
 		conn.Close()
 		for _, f := range files {
 			f.Close()
@@ -467,13 +651,14 @@
 			l.listener.Close()
 		}
 	}()
-	if _, err := fmt.Fprintf(conn, "%s %s\n", handWord, door); err != nil {
+	if _, err := fmt.Fprintf(conn, "%s %s\n", word, door); err != nil {
 		return nil, err
 	}
 	var head [8]byte
 	if _, err := io.ReadFull(conn, head[:]); err != nil { // its death ends the wait
-		return nil, err
+		return nil, fmt.Errorf("%w: %w", errForm, err)
 	}
+	begun = true
 	count, size := int(binary.LittleEndian.Uint32(head[:4])), int(binary.LittleEndian.Uint32(head[4:]))
 	for len(files) < count {
 		more, err := readFiles(conn)
@@ -495,7 +680,12 @@
 	if len(files) != 2+len(l.Calls)+len(l.Idle)+len(l.Clients) {
 		return nil, fmt.Errorf("parcel with %d descriptors", len(files))
 	}
-	if n.sender, err = logic.Resume(n.cfg.Deploy.Settings, n.cfg.Seed, l.Module); err != nil {
+	if word == handRows {
+		n.sender, err = logic.ResumeRows(n.cfg.Deploy.Settings, n.cfg.Seed, l.Module, l.readRows(conn))
+	} else {
+		n.sender, err = logic.Resume(n.cfg.Deploy.Settings, n.cfg.Seed, l.Module)
+	}
+	if err != nil {
 		return nil, fmt.Errorf("parcel: %w", err)
 	}
 	if l.listener, err = net.FileListener(files[1]); err != nil {
@@ -552,6 +742,10 @@
 // adopt goes on with what another process has handed over.
 func (n *Node) adopt(work context.Context, l *legacy) {
 	n.start = time.Now().Add(-span(l.Clock) - max(time.Since(time.UnixMicro(l.At)), 0))
+	for _, x := range l.names {
+		n.dir.Adopt(x.name, x.id, x.to)
+	}
+	l.names, l.Module = nil, logic.Saved{}
 	for name, id := range l.IDs {
 		t := l.Targets[id]
 		n.dir.Adopt(name, id, discovery.Target{Addr: t.Addr, Zone: t.Zone, Dest: t.Dest, Kind: t.Kind})
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -118,6 +118,12 @@
 
 // askAsHeir takes a parcel as a new process does.
 func askAsHeir(t *testing.T, dir string) *net.UnixConn {
+	t.Helper()
+	return askAs(t, dir, handWord)
+}
+
+// askAs is the same with the word for a form.
+func askAs(t *testing.T, dir, word string) *net.UnixConn {
 	t.Helper()
 	path, d, err := socketPath(dir)
 	if err != nil {
@@ -128,7 +134,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := io.WriteString(conn, handWord+" -\n"); err != nil {
+	if _, err := io.WriteString(conn, word+" -\n"); err != nil {
 		t.Fatal(err)
 	}
 	return conn
@@ -136,13 +142,16 @@
 
 // A new process that dies before it has taken the parcel leaves the old one as it was: connections, calls and all.
 func TestUpgradeHeirDies(t *testing.T) {
-	for _, read := range []int{0, 8} { // at once, or having read the head
-		t.Run(fmt.Sprint(read), func(t *testing.T) {
+	for _, x := range []struct {
+		read int
+		word string
+	}{{0, handWord}, {8, handWord}, {0, handRows}, {8, handRows}} { // at once, or having read the head
+		t.Run(fmt.Sprint(x.read, " ", x.word), func(t *testing.T) {
 			n, c, _, eps := world(t, 1)
 			c.put("a", "unsafe", "+OK")
 			in := await(t, eps[0].calls, "call")
-			conn := askAsHeir(t, n.cfg.StateDir)
-			if _, err := io.ReadFull(conn, make([]byte, read)); err != nil {
+			conn := askAs(t, n.cfg.StateDir, x.word)
+			if _, err := io.ReadFull(conn, make([]byte, x.read)); err != nil {
 				t.Fatal(err)
 			}
 			conn.Close()
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -74,26 +74,27 @@
 
 // Node is one sender.
 type Node struct {
-	cfg     *Config
-	log     *slog.Logger
-	journal *Journal
-	sender  *logic.Sender
-	caller  *caller
-	dir     *discovery.Directory
-	disc    watcher
-	notices *notices
-	clients *clients
-	door    *door // nil where no operator address is given
-	events  chan any
-	orders  chan order
-	heirs   chan heir
-	moves   chan struct{} // holds one token when discovery has moved
-	writes  chan leave    // calls that have connected and would be written
-	sockets int           // descriptors that this process and another version of it may hold together
-	lock    *os.File
-	again   bool // the folder has been in use before: this is a restart
-	ln      net.Listener
-	ready   chan net.Addr // gets the address once clients are served
+	cfg       *Config
+	log       *slog.Logger
+	journal   *Journal
+	sender    *logic.Sender
+	caller    *caller
+	dir       *discovery.Directory
+	disc      watcher
+	notices   *notices
+	clients   *clients
+	door      *door // nil where no operator address is given
+	events    chan any
+	orders    chan order
+	heirs     chan heir
+	handAfter time.Time     // no state transfer before: one has failed
+	moves     chan struct{} // holds one token when discovery has moved
+	writes    chan leave    // calls that have connected and would be written
+	sockets   int           // descriptors that this process and another version of it may hold together
+	lock      *os.File
+	again     bool // the folder has been in use before: this is a restart
+	ln        net.Listener
+	ready     chan net.Addr // gets the address once clients are served
 
 	// What follows belongs to the loop.
 	start      time.Time
--- /dev/null
+++ b/internal/node/transfer_test.go
@@ -0,0 +1,323 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"reflect"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"crossdeal/internal/discovery"
+	"crossdeal/logic"
+)
+
+// formOne is the folder of a process of the version before the tables went row by row, and what it said to a successor:
+// 14 messages delivered at s-0, s-1 taken out by an operator, the call of "out" under way at s-0, "w" told to come again
+// in 60 s at s-w, s-u draining. Addresses are placeholders. Its times are moved to the present here.
+const formOne = "testdata/form1"
+
+// recordedText is what that process said, its endpoints at other addresses.
+func recordedText(t *testing.T, addrs ...string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(formOne, "parcel.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var made struct{ At int64 }
+	if err := json.Unmarshal(text, &made); err != nil {
+		t.Fatal(err)
+	}
+	later := time.Now().UnixMicro() - made.At
+	text = regexp.MustCompile(`17961823\d{8}`).ReplaceAllFunc(text, func(b []byte) []byte {
+		at, err := strconv.ParseInt(string(b), 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return strconv.AppendInt(nil, at+later, 10)
+	})
+	for i, addr := range addrs {
+		text = bytes.ReplaceAll(text, []byte("ADDR-"+string("ABW"[i])), []byte(addr))
+	}
+	return text
+}
+
+// recordedFolder is a copy of the folder.
+func recordedFolder(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	text, err := os.ReadFile(filepath.Join(formOne, journalName))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(filepath.Join(dir, journalName), text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return dir
+}
+
+// playOwner stands for that process: it knows one form, and hands over once it is asked in that. What it was asked
+// and told comes out.
+func playOwner(t *testing.T, dir string, text []byte, conns ...syscall.Conn) <-chan string {
+	t.Helper()
+	lock, err := lockState(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ln, err := listenHandover(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { ln.Close(); lock.Close() })
+	heard := make(chan string, 16)
+	go func() {
+		for {
+			conn, err := ln.AcceptUnix()
+			if err != nil {
+				return
+			}
+			line, _ := bufio.NewReader(conn).ReadString('\n')
+			heard <- strings.TrimSpace(line)
+			if !strings.HasPrefix(line, "take 1 ") {
+				conn.Close()
+				continue
+			}
+			fds := []int{int(lock.Fd())}
+			for _, x := range conns {
+				raw, _ := x.SyscallConn()
+				raw.Control(func(fd uintptr) { fds = append(fds, int(fd)) })
+			}
+			head := binary.LittleEndian.AppendUint32(nil, uint32(len(fds)))
+			conn.Write(binary.LittleEndian.AppendUint32(head, uint32(len(text))))
+			conn.WriteMsgUnix([]byte{'f'}, syscall.UnixRights(fds...), nil)
+			conn.Write(text)
+			line, _ = bufio.NewReader(conn).ReadString('\n')
+			heard <- strings.TrimSpace(line)
+			conn.Close()
+			lock.Close()
+			return
+		}
+	}()
+	return heard
+}
+
+// A process of the version before hands over in its form, and its folder goes on: the call that is out, the told wait,
+// what an operator took out, the client's connection and what was learned.
+func TestUpgradeFromTheFormBefore(t *testing.T) {
+	p, dir := newPlatform(t), recordedFolder(t)
+	a, b, w := newEndpoint(t), newEndpoint(t), newEndpoint(t)
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	out, err := net.Dial("tcp", a.addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(out, "POST / HTTP/1.1\r\nHost: a\r\nX-Trace-Id: out\r\nContent-Length: 0\r\n\r\n")
+	under := await(t, a.calls, "call under way")
+	idle, err := net.Dial("tcp", w.addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := dial(t, ln.Addr().String())
+	client, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	heard := playOwner(t, dir, recordedText(t, a.addr(), b.addr(), w.addr()), ln.(*net.TCPListener), out.(*net.TCPConn),
+		idle.(*net.TCPConn), client.(*net.TCPConn))
+	known := discovery.List{Generation: 7, Reset: true, Instances: []discovery.Instance{
+		{ID: "s-0", HostPort: a.addr(), Zone: "a", Kind: "std", Dest: 1, Lifecycle: "up", Weight: 100},
+		{ID: "s-1", HostPort: b.addr(), Zone: "b", Kind: "std", Dest: 1, Lifecycle: "up", Weight: 100},
+		{ID: "s-w", HostPort: w.addr(), Zone: "a", Kind: "std", Dest: 2, Lifecycle: "up", Weight: 100}}}
+	p.list = known
+	n := doorNode(t, p, dir, known)
+	for _, want := range []string{handRows + " -", "take 1 -", "taken"} {
+		got := await(t, heard, "word")
+		if got, _, _ = strings.Cut(got, "127"); strings.TrimSpace(strings.TrimSuffix(got, "-")) != strings.TrimSuffix(want, " -") {
+			t.Errorf("the new process said %q, want %q", got, want)
+		}
+	}
+	out.Close()
+	idle.Close()
+	client.Close()
+	if n.addr != ln.Addr().String() {
+		t.Errorf("listens at %s, not at %s", n.addr, ln.Addr())
+	}
+	under.reply(200)
+	c.put("out", "unsafe", "+OK") // known
+	c.put("new", "unsafe", "+OK")
+	next := await(t, a.calls, "call on the connection that came along")
+	if next.id() != "new" || next.conn != under.conn {
+		t.Errorf("call with %s", next.id())
+	}
+	next.reply(200)
+	if got := c.do("MSG.PUT", "0", "w2", "c=unsafe,d=600,dest=2", "x"); got != "+OK" {
+		t.Fatalf("got %q", got)
+	}
+	if x := await(t, p.notices, "notice"); x.ID != "w2" || x.State != "returned" {
+		t.Errorf("notice %+v, want that w2 is returned: the told wait still holds", x)
+	}
+	w.none(t)
+	b.none(t)
+	wantAnswer(t, n.door.address().String(), "enable-server s-1", "ok")
+}
+
+// What this version says to a process of the version before is what that one would have said itself, field by field.
+func TestSaysTheFormBefore(t *testing.T) {
+	text := recordedText(t)
+	var want, got map[string]any
+	if err := json.Unmarshal(text, &want); err != nil {
+		t.Fatal(err)
+	}
+	var l legacy
+	if err := json.Unmarshal(text, &l.parcel); err != nil {
+		t.Fatal(err)
+	}
+	n, err := New(bigConfig(t), slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if n.sender, err = logic.Resume(n.cfg.Deploy.Settings, 1, l.Module); err != nil {
+		t.Fatal(err)
+	}
+	for name, id := range l.IDs {
+		x := l.Targets[id]
+		n.dir.Adopt(name, id, discovery.Target{Addr: x.Addr, Zone: x.Zone, Dest: x.Dest, Kind: x.Kind})
+	}
+	p, _, _ := n.pack(false)
+	p.At, p.Clock, p.Generation, p.Discovery = l.At, l.Clock, l.Generation, l.Discovery
+	p.Recent, p.Held, p.Calls, p.Idle, p.Clients = l.Recent, l.Held, l.Calls, l.Idle, l.Clients // not of the module
+	again, err := json.Marshal(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := json.Unmarshal(again, &got); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("said\n%s\nwant\n%s", again, text)
+	}
+}
+
+// The folder alone, after that process's death: its journal is read, and what is owed is told.
+func TestFolderOfTheFormBefore(t *testing.T) {
+	p, dir := newPlatform(t), recordedFolder(t)
+	known := discovery.List{Generation: 7, Reset: true, Instances: instances(newEndpoint(t))}
+	p.list = known
+	n := doorNode(t, p, dir, known)
+	got := map[string]string{}
+	for range 2 {
+		x := await(t, p.notices, "notice")
+		got[x.ID] = x.State
+	}
+	if got["out"] != "failed" || got["w"] != "returned" { // their time was up long ago; out may have run
+		t.Errorf("notices %v", got)
+	}
+	wantAnswer(t, n.door.address().String(), "enable-server s-1", "ok")
+}
+
+// Both forms carry the same, and a name with all of its fields.
+func TestTransferForms(t *testing.T) {
+	owner := bigNode(t, 300)
+	for i, name := range []string{"", "far-away", "none"} {
+		owner.dir.Adopt(name, logic.EndpointID(100_000+i), discovery.Target{Addr: []string{"[::1]:9", "h:1", ""}[i], Zone: -1,
+			Kind: -1, Dest: -1 << 62})
+	}
+	want, err := json.Marshal(owner.sender.Save())
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, word := range []string{handWord, handRows} {
+		n, _, _ := transfer(t, owner, word)
+		got, err := json.Marshal(n.sender.Save())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !bytes.Equal(got, want) {
+			t.Errorf("%s: the module's state differs", word)
+		}
+		count := 0
+		for name, id := range owner.dir.Names() {
+			count++
+			a, _ := owner.dir.Target(id)
+			if b, _ := n.dir.Target(id); a != b && a.Addr != "" {
+				t.Errorf("%s: %s is at %+v, want %+v", word, name, b, a)
+			}
+			if got, ok := n.dir.Lookup(name); !ok || got != id {
+				t.Errorf("%s: %s has number %d, want %d", word, name, got, id)
+			}
+		}
+		if got := n.names(); got != count {
+			t.Errorf("%s: %d names, want %d", word, got, count)
+		}
+	}
+}
+
+// A successor that stops to read does not keep the owner from its work for long, nor does one that breaks off in a row.
+func TestUpgradeSuccessorStalls(t *testing.T) {
+	p, e := newPlatform(t), newEndpoint(t)
+	known := discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
+	for i := range 6000 { // more than a socket holds
+		known.Instances = append(known.Instances, discovery.Instance{ID: fmt.Sprintf("%0200d", i), HostPort: "127.0.0.1:9", Zone: "a",
+			Kind: "std", Dest: int64(i + 2), Lifecycle: "up", Weight: 100})
+	}
+	p.list = known
+	n := startNode(t, p, t.TempDir(), known)
+	c := dial(t, n.addr)
+	for _, read := range []int{8, 400_000} {
+		conn, at := askAs(t, n.cfg.StateDir, handRows), time.Now()
+		for {
+			_, err := io.ReadFull(conn, make([]byte, read))
+			if err == nil {
+				break
+			}
+			if time.Since(at) > 2*handRest { // after one that failed the owner rests
+				t.Fatal(err)
+			}
+			conn.Close()
+			time.Sleep(handPause)
+			conn = askAs(t, n.cfg.StateDir, handRows)
+		}
+		if read != 8 {
+			conn.Close()
+		}
+		id := fmt.Sprintf("a-%d", time.Now().UnixNano())
+		at = time.Now()
+		c.put(id, "safe", "+OK")
+		in := await(t, e.calls, "call")
+		if took := time.Since(at); took > 2*handStall {
+			t.Errorf("served after %v", took)
+		}
+		in.reply(200)
+		conn.Close()
+	}
+}
+
+// A process of the version before, which takes all in one text, is told no before anything is frozen where that text
+// would be too long: the new one would refuse it, and ask again at once.
+func TestUpgradeTooMuchForOneText(t *testing.T) {
+	n, c, _, eps := world(t, 1)
+	for i := range mostParcel/textEach + 1 {
+		n.dir.Adopt(fmt.Sprintf("instance-%06d", i), logic.EndpointID(i+10), discovery.Target{Addr: "h:1"})
+	}
+	conn := askAs(t, n.cfg.StateDir, handWord)
+	if _, err := io.ReadFull(conn, make([]byte, 8)); err != io.EOF {
+		t.Errorf("got %v, want the end of the connection", err)
+	}
+	c.put("a", "safe", "+OK")
+	await(t, eps[0].calls, "call").reply(200)
+}
--- a/logic/golden_test.go
+++ b/logic/golden_test.go
@@ -33,6 +33,7 @@
 	how     map[int64]Outcome
 	sum     hash.Hash
 	actions int
+	swaps   int
 }
 
 type goldenEvent struct {
@@ -246,18 +247,8 @@
 }
 
 func (g *golden) replace() {
-	text, err := json.Marshal(g.s.Save())
-	if err != nil {
-		g.t.Fatal(err)
-	}
-	var saved Saved
-	if err := json.Unmarshal(text, &saved); err != nil {
-		g.t.Fatal(err)
-	}
-	next, err := Resume(g.set, 1, saved)
-	if err != nil {
-		g.t.Fatal(err)
-	}
+	g.swaps++
+	next := transferred(g.t, g.set, g.s, g.swaps%2 == 0)
 	next.rng, next.step, next.timer = g.s.rng, g.s.step, g.s.timer
 	g.s = next
 }
--- a/logic/handover.go
+++ b/logic/handover.go
@@ -23,8 +23,9 @@
 	Banned    []EndpointID
 	ByClass   []savedHist
 	Usage     []savedUsage
-	Dests     []savedDest
-	Endpoints []savedEndpoint
+	Dests     []savedDest     `json:",omitempty"` // without them the state's tables come in rows
+	Endpoints []savedEndpoint `json:",omitempty"`
+	Sizes     []int           `json:",omitempty"` // then: how many there are of both
 	Messages  []savedMsg
 	Held      []string // messages not over, in order of arrival
 	Attempts  []savedAttempt
@@ -150,7 +151,9 @@
 }
 
 // Save returns the state. The Sender must not be used afterwards, unless nobody goes on in its place.
-func (s *Sender) Save() Saved {
+func (s *Sender) Save() Saved { return s.save(true) }
+
+func (s *Sender) save(tables bool) Saved {
 	out := Saved{Now: s.now, Seq: s.seq, Logs: s.logs, Stray: s.stray, MeanWorth: s.meanWorth, Turned: s.turned, Room: s.room,
 		AskAt: s.askAt, AskGap: s.askGap, ListAt: s.listAt, Watched: s.watched, Old: s.saved, Banned: slices.Sorted(maps.Keys(s.banned)), Keys: map[string]savedLine{}}
 	for i := range s.byClass {
@@ -159,25 +162,8 @@
 	for _, u := range s.usage {
 		out.Usage = append(out.Usage, savedUsage{u.n, u.at})
 	}
-	for _, d := range s.order {
-		x := savedDest{ID: d.id, Kind: int(d.kind), Next: d.next, Lane: d.lane.save(), Hist: d.hist.save(), Used: d.used,
-			DownAt: d.downAt, Came: int(d.came)}
-		for _, e := range d.eps {
-			x.Listed = append(x.Listed, e.id)
-		}
-		out.Dests = append(out.Dests, x)
-	}
-	for _, id := range slices.Sorted(maps.Keys(s.eps)) {
-		e := s.eps[id]
-		x := savedEndpoint{ID: e.id, Zone: int(e.zone), State: e.state, Dest: e.dest.id, Sent: e.sent, Bad: e.bad,
-			Slow: e.slow, Fails: int(e.fails), Fulls: int(e.fulls), Suspect: e.suspect, Cold: e.cold, LastOK: e.lastOK,
-			LastBad: e.lastBad, Well: e.well, BackAt: e.backAt, TrialAt: e.trialAt, LastSent: e.lastSent,
-			Warm: e.warm, TrialGap: e.trialGap}
-		if e.lane != e.dest.lane {
-			l := e.lane.save()
-			x.Lane = &l
-		}
-		out.Endpoints = append(out.Endpoints, x)
+	if tables {
+		s.saveTables(&out)
 	}
 	for key, l := range s.keys {
 		x := savedLine{Quiet: l.quiet}
@@ -215,6 +201,30 @@
 	return out
 }
 
+// saveTables adds destinations and endpoints.
+func (s *Sender) saveTables(out *Saved) {
+	for _, d := range s.order {
+		x := savedDest{ID: d.id, Kind: int(d.kind), Next: d.next, Lane: d.lane.save(), Hist: d.hist.save(), Used: d.used,
+			DownAt: d.downAt, Came: int(d.came)}
+		for _, e := range d.eps {
+			x.Listed = append(x.Listed, e.id)
+		}
+		out.Dests = append(out.Dests, x)
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.eps)) {
+		e := s.eps[id]
+		x := savedEndpoint{ID: e.id, Zone: int(e.zone), State: e.state, Dest: e.dest.id, Sent: e.sent, Bad: e.bad,
+			Slow: e.slow, Fails: int(e.fails), Fulls: int(e.fulls), Suspect: e.suspect, Cold: e.cold, LastOK: e.lastOK,
+			LastBad: e.lastBad, Well: e.well, BackAt: e.backAt, TrialAt: e.trialAt, LastSent: e.lastSent,
+			Warm: e.warm, TrialGap: e.trialGap}
+		if e.lane != e.dest.lane {
+			l := e.lane.save()
+			x.Lane = &l
+		}
+		out.Endpoints = append(out.Endpoints, x)
+	}
+}
+
 // Resume makes a Sender that goes on where the saved one stopped. What does not fit the settings, as those of
 // another version may not, is left out.
 func Resume(set Settings, seed uint64, x Saved) (*Sender, error) {
@@ -222,6 +232,13 @@
 	if err != nil {
 		return nil, err
 	}
+	s.resumeTables(x)
+	s.resumeRest(x)
+	return s, nil
+}
+
+// resumeRest takes up all but destinations and endpoints.
+func (s *Sender) resumeRest(x Saved) {
 	s.now, s.seq, s.logs, s.stray, s.meanWorth = x.Now, x.Seq, x.Logs, x.Stray, x.MeanWorth
 	s.askAt, s.askGap, s.listAt, s.watched, s.saved = x.AskAt, x.AskGap, x.ListAt, x.Watched, x.Old
 	maps.Copy(s.turned, x.Turned)
@@ -235,6 +252,11 @@
 	for i := range min(len(x.Usage), len(s.usage)) {
 		s.usage[i] = usage{x.Usage[i].N, x.Usage[i].At}
 	}
+	s.resumeMsgs(x)
+}
+
+func (s *Sender) resumeTables(x Saved) {
+	s.now = x.Now
 	for _, sd := range x.Dests {
 		d := s.dest(sd.ID)
 		d.kind, d.next, d.lane, d.hist = int32(sd.Kind), sd.Next, sd.Lane.lane(), sd.Hist.hist()
@@ -260,8 +282,6 @@
 			}
 		}
 	}
-	s.resumeMsgs(x)
-	return s, nil
 }
 
 func (s *Sender) resumeMsgs(x Saved) {
--- a/logic/handover_test.go
+++ b/logic/handover_test.go
@@ -2,25 +2,60 @@
 
 import (
 	"encoding/json"
+	"iter"
+	"maps"
+	"reflect"
 	"slices"
 	"testing"
 )
 
-// replace lets another sender go on with what this one knows, by way of a text as between two processes. Only chance,
-// the number of the step and the timer that is out stay as they were: they differ between senders.
-func (w *world) replace() {
-	text, err := json.Marshal(w.s.Save())
+// transferred is a sender that goes on with what another one knows, by way of bytes as between two processes: a text, or
+// a text and rows.
+func transferred(t *testing.T, set Settings, s *Sender, inRows bool) *Sender {
+	saved := s.Save()
+	if inRows {
+		saved = s.SaveRest()
+	}
+	text, err := json.Marshal(saved)
 	if err != nil {
-		w.t.Fatal(err)
+		t.Fatal(err)
 	}
-	var saved Saved
+	saved = Saved{}
 	if err := json.Unmarshal(text, &saved); err != nil {
-		w.t.Fatal(err)
+		t.Fatal(err)
+	}
+	var next *Sender
+	if inRows {
+		next, err = ResumeRows(set, 1, saved, copied(s.Rows()))
+	} else {
+		next, err = Resume(set, 1, saved)
 	}
-	next, err := Resume(w.set, 1, saved)
 	if err != nil {
-		w.t.Fatal(err)
+		t.Fatal(err)
 	}
+	return next
+}
+
+// copied are rows as another process gets them: each is its reader's until the next, and then gone.
+func copied(rows iter.Seq[[]byte]) iter.Seq2[[]byte, error] {
+	return func(yield func([]byte, error) bool) {
+		for row := range rows {
+			mine := slices.Clone(row)
+			if !yield(mine, nil) {
+				return
+			}
+			for i := range mine {
+				mine[i] = 0xff
+			}
+		}
+	}
+}
+
+// replace lets another sender go on with what this one knows. Only chance, the number of the step and the timer that is
+// out stay as they were: they differ between senders.
+func (w *world) replace() {
+	w.swaps++
+	next := transferred(w.t, w.set, w.s, w.swaps%2 == 0)
 	next.rng, next.step, next.timer = w.s.rng, w.s.step, w.s.timer
 	w.s = next
 }
@@ -90,3 +125,81 @@
 		t.Errorf("found by the start: %+v", m)
 	}
 }
+
+// Both forms of the state carry all of it: what comes out of a transfer is what went in, bit by bit.
+func TestTransferIsWhole(t *testing.T) {
+	for name, set := range goldenVariants() {
+		g := newGolden(t, set, 5)
+		g.play(60, false)
+		for _, inRows := range []bool{false, true} {
+			next := transferred(t, set, g.s, inRows)
+			if !reflect.DeepEqual(slices.Sorted(maps.Keys(next.eps)), slices.Sorted(maps.Keys(g.s.eps))) {
+				t.Errorf("%s, in rows %v: other endpoints after the transfer", name, inRows)
+			}
+			a, err := json.Marshal(g.s.Save())
+			if err != nil {
+				t.Fatal(err)
+			}
+			b, err := json.Marshal(next.Save())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if string(a) != string(b) {
+				t.Errorf("%s, in rows %v: the state differs after the transfer", name, inRows)
+			}
+			for id, d := range next.dests {
+				if old := g.s.dests[id]; old != nil && (old.msgs != d.msgs || old.hist.tau != d.hist.tau) {
+					t.Errorf("%s, in rows %v: destination %d: %+v, before %+v", name, inRows, id, d, old)
+				}
+			}
+		}
+	}
+}
+
+// Rows that make no sense are refused, whatever they hold; none crashes the reader.
+func TestTransferOfNonsense(t *testing.T) {
+	set := base()
+	set.Senders = 60
+	g := newGolden(t, set, 5)
+	g.play(20, false)
+	var rows [][]byte
+	for row := range g.s.Rows() {
+		rows = append(rows, slices.Clone(row))
+	}
+	rnd, refused := g.rnd, 0
+	for range 3000 {
+		bad := make([][]byte, len(rows))
+		for i, row := range rows {
+			bad[i] = slices.Clone(row)
+		}
+		for range 1 + rnd.IntN(3) {
+			row := &bad[rnd.IntN(len(bad))]
+			switch rnd.IntN(3) {
+			case 0:
+				(*row)[rnd.IntN(len(*row))] ^= byte(1 + rnd.IntN(255))
+			case 1:
+				*row = (*row)[:rnd.IntN(len(*row))]
+				if len(*row) == 0 {
+					*row = []byte{0}
+				}
+			case 2:
+				*row = append(*row, byte(rnd.IntN(256)), 0xff)
+			}
+		}
+		s, err := ResumeRows(set, 1, g.s.SaveRest(), func(yield func([]byte, error) bool) {
+			for _, row := range bad {
+				if !yield(row, nil) {
+					return
+				}
+			}
+		})
+		if err != nil {
+			refused++
+			continue
+		}
+		s.Step(g.now+Second, []Event{Call{ID: "after", Left: 10 * Second, Dest: int64(rnd.IntN(20)), Tenant: -1}})
+	}
+	if refused == 0 {
+		t.Error("nothing was refused")
+	}
+}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -185,8 +185,8 @@
 		if e != nil {
 			s.unlist(e)
 		}
-		e = &endpoint{id: row.Endpoint, dest: d, lane: d.lane, state: Gone}
-		e.lastOK, e.lastBad, e.lastSent, e.well = longAgo, longAgo, longAgo, longAgo
+		e = newEndpoint(row.Endpoint, d)
+		e.state = Gone
 		if s.kind(d).Apart {
 			e.lane = s.newLane()
 		}
--- a/logic/rig_test.go
+++ b/logic/rig_test.go
@@ -91,6 +91,7 @@
 	peak     float64
 	trace    []string
 	swap     Micros // mean time between two senders that go on for each other; 0 for one sender all day
+	swaps    int
 }
 
 type wmsg struct {
--- a/logic/size_test.go
+++ b/logic/size_test.go
@@ -229,3 +229,26 @@
 		}
 	}
 }
+
+// What nothing is known of but the list costs a transfer little more than its names; what was learned, a few numbers.
+func TestRowsAreSmall(t *testing.T) {
+	for _, x := range []struct{ senders, rounds, most int }{{1, 0, 45}, {540, 0, 65}, {540, 4, 220}} {
+		set := bigSettings()
+		set.Senders = x.senders
+		s, err := New(set, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		const dests = 2000
+		s.Step(0, []Event{bigList(dests, 2)})
+		traffic(s, 0, dests, x.rounds)
+		bytes := 0
+		for row := range s.Rows() {
+			bytes += len(row)
+		}
+		t.Logf("%d senders, %d messages each: %d B a destination with two endpoints", x.senders, x.rounds, bytes/dests)
+		if bytes/dests > x.most {
+			t.Errorf("%d senders, %d messages each: %d B a destination, want at most %d", x.senders, x.rounds, bytes/dests, x.most)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -261,6 +261,11 @@
 	return rows[n:]
 }
 
+func newEndpoint(id EndpointID, d *dest) *endpoint {
+	return &endpoint{id: id, dest: d, lane: d.lane,
+		lastOK: longAgo, lastBad: longAgo, lastSent: longAgo, well: longAgo}
+}
+
 func (s *Sender) dest(id int64) *dest {
 	d := s.dests[id]
 	if d == nil {
