--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -1,4 +1,3 @@
-// Package discovery keeps a replica of the list of endpoints.
 package discovery
 
 // List is discovery's answer.
@@ -15,6 +14,16 @@
 	Zone      string  `json:"zone"`
 	Kind      string  `json:"machineType"`
 	Dest      int64   `json:"cell"`
-	Lifecycle string  `json:"lifecycle"`
-	Weight    float64 `json:"weight"`
+	Lifecycle string  `json:"lifecycle"` // up, draining or removed; anything else is taken for draining
+	Weight    float64 `json:"weight"`    // calls a second that the destination takes, where the settings say so
+}
+
+// Update is an answer of discovery, reduced to what differs from the directory. It is to be applied before the next
+// answer is compared.
+type Update struct {
+	Generation int64
+	Whole      bool       // the answer was a whole list
+	Rows       []Instance // what the list no longer has comes first, as removed
+	Unusable   int        // rows of the answer that made no sense; what they name stays as it was
+	Duplicates int        // rows of the answer with the id of an earlier one, which they replace
 }
