Saved list: reading it again does not close a gap; more tests

A second Load let updates be appended behind ones that had been refused: TestStoreConcurrent found a list that was none. Load now counts for what follows only as the first thing a process does. The order in which Append and Replace have to come is said where they are described. A fuzz test sets the sums right and reads whatever is behind them.

--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -94,6 +94,7 @@
 	saved    Saved
 	snapshot int64 // bytes of the snapshot
 	size     int64 // bytes of the file
+	begun    bool  // something was loaded or replaced since the start
 	follows  bool  // what is told next follows what the file holds; otherwise an update would stand behind a gap
 	torn     bool  // it has a bad end that could not be cut off
 	futile   bool  // the last rewrite found no room
@@ -296,7 +297,7 @@
 // The file is checked before the first row is handed out. One that is not whole is refused: the error says why, and is
 // fs.ErrNotExist (wrapped) where nothing is saved. A bad end among the updates is no error: it is cut off, and what
 // stands before it is the list at the generation that Load returns. On an error, each's included, the caller drops what
-// it was given, and nothing can be appended until Replace.
+// it was given, and nothing can be appended until Replace. A process loads at its start: later calls only show the list.
 func (s *Store) Load(each func([]Instance) error) (Saved, error) {
 	return s.LoadSince(math.MinInt64, each)
 }
@@ -309,6 +310,8 @@
 	if err != nil {
 		return Saved{}, err
 	}
+	first := !s.begun
+	s.begun = true
 	if saved.Generation >= generation {
 		saved, err = s.read(each)
 	}
@@ -319,7 +322,7 @@
 		s.follows = false
 		return Saved{}, err
 	}
-	s.follows = !s.torn
+	s.follows = (s.follows || first) && !s.torn // one that lags behind what was told since still does
 	return saved, nil
 }
 
@@ -516,6 +519,9 @@
 // one stands until that is whole. It is removed before only where it would be wrong from now on: it can't be read, or
 // the generations of its origin count anew, below its own. An old copy is otherwise only older.
 //
+// The rows must be those at that generation, or later ones of the same origin. No update that came after it may be
+// appended before: it would be lost, and later ones would stand behind a gap.
+//
 // On an error no new copy is left and the old one stays; errNoRoom (wrapped) says that the two would have gone over the
 // budget.
 func (s *Store) Replace(origin string, generation int64, rows iter.Seq[Instance]) error {
@@ -525,6 +531,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open()
+	s.begun = true
 	err := s.replace(origin, generation, rows)
 	s.futile = errors.Is(err, errNoRoom)
 	if err != nil {
@@ -619,7 +626,7 @@
 }
 
 // Append saves one update behind what there is: the rows that differ, gone ones as Lifecycle "removed". It must follow
-// what this process has loaded or replaced, and its generation must rise. On an error nothing is appended, and rows that were not appended are lacking: all later updates are refused
+// what this process has loaded at its start or replaced, and its generation must rise. On an error nothing is appended, and rows that were not appended are lacking: all later updates are refused
 // until Replace, as they would stand behind a gap. errNoRoom (wrapped) says that the update would have gone over the
 // budget, or taken the room in which the list can be rewritten.
 func (s *Store) Append(generation int64, rows []Instance) error {
--- a/internal/discovery/store_test.go
+++ b/internal/discovery/store_test.go
@@ -10,12 +10,15 @@
 	"iter"
 	"log/slog"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"runtime"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -162,10 +165,15 @@
 func folder(t *testing.T, text []byte) string {
 	t.Helper()
 	dir := t.TempDir()
+	put(t, dir, text)
+	return dir
+}
+
+func put(t testing.TB, dir string, text []byte) {
+	t.Helper()
 	if err := os.WriteFile(filepath.Join(dir, storeName), text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return dir
 }
 
 // noNew fails if a rewrite has left its file.
@@ -236,6 +244,13 @@
 		t.Fatalf("behind a gap: %v, stale %v", err, s.Stale())
 	}
 	mustHold(t, dir, "o:1", 6, tableOf(samples(0, 4)))
+	// Nor does it help to read the list again: whoever tells of updates is further on.
+	if _, err := s.Load(func([]Instance) error { return nil }); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Append(8, samples(6, 7)); !errors.Is(err, errLacks) {
+		t.Fatalf("behind a gap: %v", err)
+	}
 	mustReplace(t, s, 7, samples(0, 6))
 	mustUpdate(t, s, 8, sample(6))
 	mustHold(t, dir, "o:1", 8, tableOf(samples(0, 7)))
@@ -262,8 +277,9 @@
 // A process can die within a write, and a file can be cut: what is left is refused or a list that was one.
 func TestStoreCutAtEveryByte(t *testing.T) {
 	text, ends, lists := small(t)
+	dir := t.TempDir()
 	for at := range len(text) + 1 {
-		dir := folder(t, text[:at])
+		put(t, dir, text[:at])
 		saved, got, err := load(dir)
 		if at < ends[0] {
 			if err == nil || errors.Is(err, fs.ErrNotExist) || len(got) > 0 {
@@ -288,11 +304,13 @@
 
 func TestStoreFlippedAtEveryByte(t *testing.T) {
 	text, ends, lists := small(t)
+	dir := t.TempDir()
 	for at := range text {
 		for _, flip := range []byte{1, 0x20, 0x80, 0xff} {
 			bad := bytes.Clone(text)
 			bad[at] ^= flip
-			saved, got, err := load(folder(t, bad))
+			put(t, dir, bad)
+			saved, got, err := load(dir)
 			if at < ends[0] {
 				if err == nil || len(got) > 0 {
 					t.Fatalf("flipped at %d, within the snapshot: %v, %d entries", at, err, len(got))
@@ -634,6 +652,11 @@
 	if _, _, err := load(dir); !errors.Is(err, fs.ErrNotExist) {
 		t.Fatal(err)
 	}
+	// One that is written is gone on with.
+	mustReplace(t, s, 100, samples(0, 3))
+	mustReplace(t, s, 5, samples(0, 4))
+	mustUpdate(t, s, 6, sample(4))
+	mustHold(t, dir, "o:1", 6, tableOf(samples(0, 5)))
 	// That of another origin says so, and stays.
 	mustReplace(t, s, 100, samples(0, 3))
 	if err := s.Replace("o:2", 5, slices.Values(samples(0, 5000))); !errors.Is(err, errNoRoom) {
@@ -677,12 +700,13 @@
 		t.Errorf("stale %v, %d bytes", s.Stale(), len(readList(t, dir)))
 	}
 	// A small list is not rewritten for each update.
-	mustReplace(t, s, 1, samples(0, 1))
-	for generation = 1; !s.Stale(); generation++ {
-		mustUpdate(t, s, generation+1, sample(0))
+	mustReplace(t, s, 10_000, samples(0, 1))
+	updates := 0
+	for ; !s.Stale(); updates++ {
+		mustUpdate(t, s, int64(10_001+updates), sample(0))
 	}
-	if generation < 40 {
-		t.Errorf("stale after %d updates", generation-1)
+	if updates < 40 {
+		t.Errorf("stale after %d updates", updates)
 	}
 }
 
@@ -762,17 +786,13 @@
 			case action < 17: // a torn end, found by the next process
 				if text, err := os.ReadFile(filepath.Join(dir, storeName)); err == nil && len(text) > 0 {
 					text = text[:len(text)-rng.IntN(min(len(text), 200))]
-					if err := os.WriteFile(filepath.Join(dir, storeName), text, 0o600); err != nil {
-						t.Fatal(err)
-					}
+					put(t, dir, text)
 					s = OpenStore(dir, budget, quiet)
 				}
 			case action < 18: // a bit that flips
 				if text, err := os.ReadFile(filepath.Join(dir, storeName)); err == nil && len(text) > 0 {
 					text[rng.IntN(len(text))] ^= 1 << rng.IntN(8)
-					if err := os.WriteFile(filepath.Join(dir, storeName), text, 0o600); err != nil {
-						t.Fatal(err)
-					}
+					put(t, dir, text)
 					s = OpenStore(dir, budget, quiet)
 				}
 			default:
@@ -808,6 +828,115 @@
 	}
 }
 
+// Whatever the file holds, it is refused or it is a list, and the next process reads the same one.
+func FuzzStoreLoad(f *testing.F) {
+	dir := f.TempDir()
+	s := OpenStore(dir, plenty, quiet)
+	if err := s.Replace("o:1", 10, slices.Values(samples(0, 3))); err != nil {
+		f.Fatal(err)
+	}
+	for generation, update := range [][]Instance{{removed(sample(1)), sample(8)}, samples(20, 60)} {
+		if err := s.Append(int64(11+generation), update); err != nil {
+			f.Fatal(err)
+		}
+	}
+	text, err := os.ReadFile(filepath.Join(dir, storeName))
+	if err != nil {
+		f.Fatal(err)
+	}
+	// The sums are set right, so that what is behind them is reached.
+	f.Add(text)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		for rest := text; len(rest) > wal.HeaderLen; {
+			n := int(binary.LittleEndian.Uint32(rest))
+			if n == 0 || n > len(rest)-wal.HeaderLen {
+				break
+			}
+			copy(rest, wal.Append(nil, rest[wal.HeaderLen:wal.HeaderLen+n]))
+			rest = rest[wal.HeaderLen+n:]
+		}
+		dir := t.TempDir()
+		put(t, dir, text)
+		first, one, err := load(dir)
+		if err != nil {
+			if _, err := os.Stat(filepath.Join(dir, storeName)); err != nil {
+				t.Fatal(err)
+			}
+			return
+		}
+		again, two, err := load(dir)
+		if err != nil || again != first || !maps.EqualFunc(one, two, func(a, b Instance) bool { return fmt.Sprint(a) == fmt.Sprint(b) }) {
+			t.Fatalf("first %+v, then %+v, %v", first, again, err)
+		}
+		if s := reopen(t, dir); first.Generation < math.MaxInt64 {
+			mustUpdate(t, s, math.MaxInt64)
+		}
+	})
+}
+
+// Updates and rewrites come in order, from two goroutines, while a third reads.
+func TestStoreConcurrent(t *testing.T) {
+	const most = 100
+	dir := t.TempDir()
+	s := OpenStore(dir, plenty, quiet)
+	at := func(generation int64) []Instance { return samples(0, 600+int(generation)) } // one more each time
+	mustReplace(t, s, 0, at(0))
+	var order sync.Mutex
+	var last atomic.Int64 // generation that is told
+	done := make(chan error, 3)
+	go func() {
+		defer last.Store(most)
+		for generation := int64(1); generation <= most; generation++ {
+			order.Lock()
+			err := s.Append(generation, at(generation)[599+generation:])
+			last.Store(generation)
+			order.Unlock()
+			if err != nil {
+				done <- err
+				return
+			}
+		}
+		done <- nil
+	}()
+	go func() {
+		for last.Load() < most {
+			order.Lock()
+			generation := last.Load()
+			err := s.Replace("o:1", generation, slices.Values(at(generation)))
+			order.Unlock()
+			if err != nil {
+				done <- err
+				return
+			}
+		}
+		done <- nil
+	}()
+	go func() {
+		for last.Load() < most {
+			s.Stale()
+			var got table
+			saved, err := s.Load(func(rows []Instance) error {
+				if got == nil {
+					got = table{}
+				}
+				got.apply(rows)
+				return nil
+			})
+			if want := at(saved.Generation); err != nil || !maps.Equal(got, tableOf(want)) {
+				done <- fmt.Errorf("%+v with %d entries, %v", saved, len(got), err)
+				return
+			}
+		}
+		done <- nil
+	}()
+	for range 3 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	mustHold(t, dir, "o:1", most, tableOf(at(most)))
+}
+
 // peak is the most heap in use while f runs, beyond what was in use before.
 func peak(f func(look func())) uint64 {
 	runtime.GC()
