Treat one failure with no answer since as an outage among many senders

Cause: failed() takes an endpoint for out only after a run of failures too long for chance (outOdds). With thin traffic no sender sees a run: each knows one or two failures, goes on as before, and together they are the traffic of the fleet with its backlog, where only ColdFrom of the capacity is there.

Change: among many senders a failure that no answer of the lane follows counts as an outage 1 s later, where the last answer is over 3 s old: a single trial, then the budget (unsure, used by health). One that is answered sooner is chance, as is one where a twentieth of all calls fail. A lane that never answered this process gets no second's grace. The count of what comes in the outage begins with the first failure (failed).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -46,6 +46,7 @@
 	badShare    = 0.45         // ours: failing more than this is an outage
 	shyMost     = 8 * Second   // ours: longest mean rest of a lane after a refusal, among many senders
 	sendAgain   = 1.0          // ours: part of the traffic of an outage that comes again at one time
+	shortest    = 3 * Second   // ours: what answered before and after it within this was not out between
 	outage      = 5 * Second   // ours: how long an outage lasted, beside the time since we saw it
 	badUnsafe   = 0.15         // ours: unsafe messages keep away where it is this much above chance
 	fullsDown   = 4            // ours: refusals in a row that look like a shut destination ...
@@ -495,6 +496,12 @@
 
 // health holds messages back from an endpoint that seems out: single trials only, unsafe messages last.
 func (s *Sender) health(m *msg, e *endpoint) Micros {
+	for _, x := range e.dest.eps {
+		if s.unsure(x) {
+			s.suspect(x, "failed, no answer since")
+			x.cold, x.trialAt = true, s.now
+		}
+	}
 	if e.suspect {
 		switch {
 		case e.inflight > 0 || s.onTrial() >= max(1, s.set.Slots*2/3):
@@ -977,6 +984,9 @@
 	e.fails++
 	stale := how == "refuses connections" && e.lastOK < s.now-answered && s.chance(e) < doubtOdds
 	e.lastBad = s.now
+	if e.fails == 1 && s.many && !e.cold { // maybe the first of an outage
+		e.dest.came, e.dest.downAt = 1, s.now
+	}
 	e.bad += badAlpha * (1 - e.bad)
 	if e.suspect || e.bad > badShare || s.chance(e) < outOdds || stale || how == "silent" {
 		s.takeOut(e, how)
@@ -986,8 +996,10 @@
 }
 
 // chance is how likely the present run of failures at e is where nothing is out; 1 if there is none.
-func (s *Sender) chance(e *endpoint) float64 {
-	return math.Pow(min(max(s.stray, strayLeast), strayMost), float64(e.fails))
+func (s *Sender) chance(e *endpoint) float64 { return s.likely(e.fails) }
+
+func (s *Sender) likely(run int) float64 {
+	return math.Pow(min(max(s.stray, strayLeast), strayMost), float64(run))
 }
 
 // full notes a refusal; refusals in a row over longer than a limit's window, or a long told wait, mean shut.
@@ -1005,6 +1017,23 @@
 	}
 }
 
+// unsure says whether the last that the thin traffic of many senders told of e is a failure, and no answer
+// of its lane showed soon after that it was chance. One that comes later may be of a return: each alone
+// would go on as before, and all of them together topple what comes back.
+func (s *Sender) unsure(e *endpoint) bool {
+	if !s.many || e.suspect || e.fails == 0 {
+		return false
+	}
+	run, ok := 0, longAgo
+	for _, x := range e.dest.eps {
+		if x.lane == e.lane {
+			run, ok = run+x.fails, max(ok, x.lastOK)
+		}
+	}
+	return ok <= e.lastBad && s.now > ok+shortest && (ok == longAgo || s.now > e.lastBad+answered) &&
+		s.likely(run) < doubtOdds
+}
+
 // takeOut takes an endpoint for out: from now on single trials, and after its return a budget.
 func (s *Sender) takeOut(e *endpoint, how string) {
 	s.suspect(e, how)
