Let a window for repeats bound the send alone, not the answer's time as well

Cause: endHopeless() took the nearer of deadline and window and ended a waiting message at a usual call's time before it. The window bounds when a repeat is sent. With calls that take as long as the window, nothing was ever repeated.

Change: the window counts for the send, less two ticks; the usual time only against the deadline.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1147,19 +1147,18 @@
 		if m.flows {
 			continue
 		}
-		left := m.deadline - s.now
-		need := last
+		by := m.deadline - last
 		if m.out == nil {
-			need = max(need, s.usual(m))
-			if m.mayRun && m.class.Effect == Keyed {
-				left = min(left, m.firstMay+m.class.Window-s.now)
+			by = min(by, m.deadline-s.usual(m))
+			if m.mayRun && m.class.Effect == Keyed { // the window is for the send, whenever its answer comes
+				by = min(by, m.firstMay+m.class.Window-last)
 			}
 		}
-		if left <= need {
+		if s.now >= by {
 			s.end(m)
 			continue
 		}
-		s.at(s.now + left - need)
+		s.at(by)
 	}
 }
 
