Rest a keyed message after an error for half of its window at most

Seen: with a window of 1 s, a message whose second attempt failed 0.3 s after the first, or its first after 0.7 s, was never sent again: in a test of 30 such cases 22 or more passed the window unused and ended as failed.

Cause: reply() rests a message 0.2 s after an error, doubled with each try, and a part of its time after a refusal (again), whatever is left of its window.

Change: what may have run rests for half of what is left of the window at most (reply).

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -911,6 +911,9 @@
 		s.close(m)
 		return
 	}
+	if m.mayRun && m.class.Effect == Keyed { // else a short window would pass unused
+		m.rest = min(m.rest, s.now+(m.firstMay+m.class.Window-s.now)/2)
+	}
 	s.endIfStuck(m)
 }
 
--- a/logic/window_test.go
+++ b/logic/window_test.go
@@ -106,6 +106,36 @@
 	}
 }
 
+// The rest after an error ends with half of what is left of the window: else the window would pass unused.
+func TestRestFitsTheWindow(t *testing.T) {
+	for _, senders := range []int{2, 300} {
+		for _, age := range []float64{0.1, 0.3, 0.5, 0.7, 0.9} {
+			for tries := 1; tries <= 3; tries++ {
+				r := newRig(t, shortWindow(senders))
+				r.step(0, list(2))
+				r.learn(1, 50_000, 6)
+				c := r.call(1)
+				c.Past = Past{Tries: tries, MayRun: true, Age: sec(age) - 50_000}
+				out := only[CallOut](r.step(20, c))
+				if len(out) != 1 {
+					t.Fatalf("%d senders, age %.1f: %d sends", senders, age, len(out))
+				}
+				again := 0
+				r.s.Step(sec(20.05), []Event{answer(c.ID, out[0].Endpoint, tries, Errored)})
+				r.drive(sec(20.055), sec(23), func(at Micros, a Action) bool {
+					if _, ok := a.(CallOut); ok {
+						again++
+					}
+					return false
+				})
+				if again != 1 {
+					t.Errorf("%d senders, %d tries, an error %.1f s after the first: %d repeats", senders, tries, age, again)
+				}
+			}
+		}
+	}
+}
+
 // A restart at each moment: what may have run goes again inside the window, later it ends as failed.
 func TestRestartInAShortWindow(t *testing.T) {
 	for _, senders := range []int{2, 300} {
