--- a/internal/discovery/store_test.go
+++ b/internal/discovery/store_test.go
@@ -847,6 +847,7 @@
 	// The sums are set right, so that what is behind them is reached.
 	f.Add(text)
 	f.Fuzz(func(t *testing.T, text []byte) {
+		text = bytes.Clone(text)
 		for rest := text; len(rest) > wal.HeaderLen; {
 			n := int(binary.LittleEndian.Uint32(rest))
 			if n == 0 || n > len(rest)-wal.HeaderLen {
