Bound an answer by the platform's memory and by its progress, not by 4 MiB and 2 s

Cause: an answer was cut at 4 MiB, which showed as 'unexpected EOF', and a list had 2 s in all, whatever its size. A list of 40,000 entries (6.1 MB) was never read: 29 calls in 4 s, measured with the client as it was.

Change: an answer may have an eighth of memory_mb in bytes (4 MiB at least; 32 MiB at 256 MB, for some 240,000 entries), and a 96th of that in rows. One that is larger is an error of its own that names size and limit, before it is read where its length is told. It has to begin within the limits there were; from then on it is ended by 2 s without a byte, or when it takes more than 2 s and a second for each 128 KiB, so that a long list on a slow line is read and a trickle ends. An answer that has begun is not told as a watch that waits for news. The wait for the loop counts for none of these.

Measured: TestLongListOnASlowLine, TestAnswersThatDoNotComeOn, TestOversizeIsNamed, TestLimitFollowsMemory on virtual time; go test ./internal/discovery passed, and the sender's tests of lists, watches and moves.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -34,12 +34,19 @@
 	ListAge    = 5800 * time.Millisecond // of an answer, when what changed since counts as told; a bit less than 6 s
 	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing, or with nonsense
 	badMost    = 5                       // answers with nonsense, one after the other, until discovery is left alone for a while
-	maxList    = 4 << 20
-	readAhead  = 64 << 10 // bytes of an answer that are read at once
+	LeastBytes = 4 << 20                 // bytes of an answer that are always taken
+	rowBytes   = 96                      // of an answer: it has no more rows than bytes / rowBytes
+	readAhead  = 64 << 10                // bytes of an answer that are read at once
+	silence    = 2 * time.Second         // between bytes of an answer that has begun; that long it may take in any case ...
+	slowest    = 128 << 10               // ... and a second for so many bytes beyond that
+	trailer    = 4 << 10                 // bytes behind a list that are read, to keep the connection ...
+	trailTime  = 100 * time.Millisecond  // ... and for how long
 )
 
 var (
-	errUnavailable = errors.New("discovery answered 503")                       // it has no time for a call
+	errUnavailable = errors.New("discovery answered 503") // it has no time for a call
+	errSilent      = errors.New("discovery does not answer")
+	errOversize    = errors.New("the list is too large")
 	errUnreadable  = errors.New("the answer is no list")                        // cut short, say
 	errOlder       = errors.New("the list is older than the one that is known") // a late answer, say
 )
@@ -59,6 +66,7 @@
 	Senders   int           // that share discovery
 	Grace     time.Duration // for which what begins to drain may still be called
 	Seed      uint64
+	MaxBytes  int64 // of an answer; LeastBytes at least
 	Directory *Directory
 	Log       *slog.Logger
 	Dial      func(ctx context.Context, network, addr string) (net.Conn, error) // nil for TCP
@@ -73,6 +81,7 @@
 	hold    time.Duration // how long a watch may wait for news
 	spread  time.Duration // mean pause after news from discovery that is busy
 	first   time.Duration // longest pause before the first call
+	most    int64         // bytes of an answer
 	rng     *rand.Rand    // sets our calls apart from those of other senders; used by one watch at a time, as are ...
 	gen     int64         // ... the version of the list that the loop has ...
 	back    bool          // ... whether this is a restart ...
@@ -103,7 +112,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
-	return &Client{base: "http://" + cfg.Addr, hold: hold, spread: spread, first: first,
+	return &Client{base: "http://" + cfg.Addr, hold: hold, spread: spread, first: first, most: max(cfg.MaxBytes, LeastBytes),
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), dir: cfg.Directory, log: cfg.Log, events: events, wake: make(chan struct{}, 1),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
@@ -154,7 +163,7 @@
 		if err == nil {
 			err = d.sense(list)
 		}
-		if bad++; bad < badMost && (errors.Is(err, errUnreadable) || errors.Is(err, errOlder)) {
+		if bad++; bad < badMost && (errors.Is(err, errUnreadable) || errors.Is(err, errOlder) || errors.Is(err, errOversize)) {
 			d.log.Warn("discovery, the list stays as it is", "err", err, "known", d.gen)
 			d.wait(ctx, emptyPause) // it has time, and what it has to tell counts as told
 			continue
@@ -205,9 +214,9 @@
 		list *answer
 		err  error
 	}
-	answers := make(chan result, 1)
+	answers, begun := make(chan result, 1), make(chan struct{})
 	go func() {
-		list, err := d.get(ctx, url, limit)
+		list, err := d.get(ctx, url, limit, begun)
 		answers <- result{list, err}
 	}()
 	out := time.NewTimer(accepted)
@@ -215,10 +224,11 @@
 	select {
 	case a := <-answers:
 		return a.list, a.err
+	case <-begun: // it may be long: that is no wait for news
 	case <-out.C:
-	}
-	if d.started {
-		d.emit(ctx, Event{Watched: true})
+		if d.started {
+			d.emit(ctx, Event{Watched: true})
+		}
 	}
 	a := <-answers
 	return a.list, a.err
@@ -304,32 +314,84 @@
 	}
 }
 
-func (d *Client) get(ctx context.Context, url string, limit time.Duration) (*answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, limit)
-	defer cancel()
+// get makes a call. Its answer has to begin within limit; from then on it has to come on. begun is closed as soon as
+// there is one.
+func (d *Client) get(ctx context.Context, url string, limit time.Duration, begun chan<- struct{}) (*answer, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	end := time.Now().Add(limit)
+	over := time.AfterFunc(limit, func() { cancel(errSilent) })
+	defer over.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, err
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
+		if cause := context.Cause(ctx); cause != nil {
+			err = cause
+		}
 		return nil, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
+		d.drain(resp.Body, over)
 		if resp.StatusCode == http.StatusServiceUnavailable {
 			return nil, errUnavailable
 		}
 		return nil, fmt.Errorf("discovery answered %s", resp.Status)
 	}
+	if resp.ContentLength > d.most {
+		return nil, fmt.Errorf("%w: %d bytes, the limit is %d", errOversize, resp.ContentLength, d.most)
+	}
+	left := time.Until(end)
+	over.Stop() // what follows is no fault of discovery's
 	if err := d.settled(ctx); err != nil {
 		return nil, err
 	}
-	list, err := d.dir.read(bufio.NewReaderSize(io.LimitReader(resp.Body, maxList), readAhead))
-	if err != nil {
+	over.Reset(left)
+	body := &progress{in: resp.Body, over: over, most: d.most, begun: begun}
+	list, err := d.dir.read(bufio.NewReaderSize(body, readAhead), int(d.most/rowBytes))
+	switch cause := context.Cause(ctx); {
+	case errors.Is(err, errOversize):
+		return nil, err
+	case err != nil && cause != nil:
+		return nil, fmt.Errorf("%w: %d bytes came, not in time: %w", errUnreadable, body.read, cause)
+	case err != nil:
 		return nil, fmt.Errorf("%w: %w", errUnreadable, err)
 	}
-	io.Copy(io.Discard, io.LimitReader(resp.Body, maxList))
+	d.drain(resp.Body, over)
 	return list, nil
 }
+
+// drain reads what little there is behind an answer, so that its connection can be used again.
+func (d *Client) drain(body io.Reader, over *time.Timer) {
+	over.Reset(trailTime)
+	io.Copy(io.Discard, io.LimitReader(body, trailer))
+}
+
+// progress reads an answer that may take as long as it comes on, up to a number of bytes.
+type progress struct {
+	in    io.Reader
+	over  *time.Timer // ends the call
+	most  int64
+	read  int64
+	begun chan<- struct{}
+	at    time.Time // of the first byte
+}
+
+func (p *progress) Read(b []byte) (int, error) {
+	n, err := p.in.Read(b)
+	if n > 0 && p.read == 0 {
+		p.at = time.Now()
+		close(p.begun)
+	}
+	if p.read += int64(n); p.read > p.most {
+		return 0, fmt.Errorf("%w: over %d bytes, the limit is %d", errOversize, p.read, p.most)
+	}
+	if n > 0 {
+		all := silence + time.Duration(p.read)*time.Second/slowest
+		p.over.Reset(min(silence, all-time.Since(p.at)))
+	}
+	return n, err
+}
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -215,7 +215,9 @@
 			t.Errorf("%+v: the watch began %v after the list", x, gap)
 		}
 		<-time.After(busyAfter + 50*time.Millisecond)
-		p.set(func() { p.list = List{Generation: 4, Instances: []Instance{{ID: "a", HostPort: "h:1", Lifecycle: "up"}}} })
+		p.set(func() {
+			p.list = List{Generation: 4, Instances: []Instance{{ID: "a", HostPort: "h:1", Lifecycle: "up"}}}
+		})
 		awaitEvent(t, events, "news")
 		at = time.Now()
 		query := await(t, p.asked, "next watch")
--- a/internal/discovery/harness_test.go
+++ b/internal/discovery/harness_test.go
@@ -1,14 +1,19 @@
 package discovery
 
 import (
+	"bufio"
+	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"log/slog"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -104,3 +109,74 @@
 	}
 	return ev
 }
+
+// bubble runs a test on virtual time with a client, whose list is at generation 5, and a discovery in memory, whose
+// every call serve answers with raw bytes; then the connection ends. The events are acknowledged and kept.
+type bubble struct {
+	*Client
+	t      *testing.T
+	log    *lines
+	events chan any
+	begun  time.Time
+	mu     sync.Mutex
+	asked  []time.Duration // when each call came
+	query  []string
+}
+
+func inBubble(t *testing.T, maxBytes int64, serve func(b *bubble, w io.Writer), test func(b *bubble)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		var served sync.WaitGroup
+		b := &bubble{t: t, log: &lines{}, events: make(chan any, 1024), begun: time.Now()}
+		b.Client = NewClient(Config{Addr: "discovery:1", Senders: 1, Seed: 5, MaxBytes: maxBytes, Directory: NewDirectory(nil, nil),
+			Log: slog.New(slog.NewTextHandler(b.log, nil)),
+			Dial: func(context.Context, string, string) (net.Conn, error) {
+				ours, theirs := net.Pipe()
+				served.Go(func() {
+					defer theirs.Close()
+					req, err := http.ReadRequest(bufio.NewReader(theirs))
+					if err != nil {
+						return
+					}
+					b.mu.Lock()
+					b.asked, b.query = append(b.asked, time.Since(b.begun)), append(b.query, req.URL.RawQuery)
+					b.mu.Unlock()
+					serve(b, theirs)
+				})
+				return ours, nil
+			}}, b.events)
+		b.Begin(5, true)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan bool)
+		go func() { defer close(done); b.Watch(ctx) }()
+		test(b)
+		stop()
+		<-done
+		b.client.CloseIdleConnections()
+		served.Wait()
+	})
+}
+
+// calls is the number of calls so far, and when the last one came.
+func (b *bubble) calls() (int, time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.asked) == 0 {
+		return 0, 0
+	}
+	return len(b.asked), b.asked[len(b.asked)-1]
+}
+
+// next is the next event; nil if there is none by then.
+func (b *bubble) next(within time.Duration) *Event {
+	select {
+	case x := <-b.events:
+		ev := x.(Event)
+		if ev.Done != nil {
+			ev.Done()
+		}
+		return &ev
+	case <-time.After(within):
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/discovery/limits_test.go
@@ -0,0 +1,127 @@
+package discovery
+
+import (
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+)
+
+const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n"
+
+// slowly writes so many bytes a second.
+func slowly(w io.Writer, text string, rate int) {
+	const steps = 10
+	for len(text) > 0 {
+		n := min(len(text), rate/steps)
+		if _, err := io.WriteString(w, text[:n]); err != nil {
+			return
+		}
+		text = text[n:]
+		time.Sleep(time.Second / steps)
+	}
+}
+
+// A long list on a slow line takes longer than any answer may take to begin, and is read; that it comes is not told as a
+// watch that waits.
+func TestLongListOnASlowLine(t *testing.T) {
+	var text strings.Builder
+	published(&text, 6, 20000)
+	if text.Len() < 2<<20 {
+		t.Fatalf("%d bytes", text.Len())
+	}
+	inBubble(t, 0, func(b *bubble, w io.Writer) {
+		io.WriteString(w, head+"\r\n")
+		slowly(w, text.String(), 2*slowest)
+	}, func(b *bubble) {
+		ev := b.next(time.Minute)
+		if ev == nil || !ev.News || len(ev.Update.Rows) != 20000 || time.Since(b.begun) < 5*time.Second {
+			t.Errorf("told %+v after %v", ev, time.Since(b.begun))
+		}
+		if n := b.log.count("WARN"); n != 0 {
+			t.Errorf("%d lines of trouble", n)
+		}
+	})
+}
+
+// An answer that trickles, stops midway or never ends is given up within seconds, and asked for again.
+func TestAnswersThatDoNotComeOn(t *testing.T) {
+	row := `{"instanceId":"a","hostPort":"h:1","lifecycle":"up"},`
+	for name, go_on := range map[string]func(w io.Writer){
+		"trickle":         func(w io.Writer) { slowly(w, strings.Repeat(" ", 1<<20), 50) },
+		"trickle of rows": func(w io.Writer) { slowly(w, strings.Repeat(row, 1<<12), 20*len(row)) },
+		"stop":            func(w io.Writer) { time.Sleep(time.Hour) },
+	} {
+		inBubble(t, 0, func(b *bubble, w io.Writer) {
+			io.WriteString(w, head+"\r\n"+`{"generation":6,"reset":true,"instances":[`+row)
+			go_on(w)
+		}, func(b *bubble) {
+			time.Sleep(5 * time.Second)
+			if n, last := b.calls(); n < 2 || b.log.count("the list stays as it is") != n-1 || b.log.count("not in time") != n-1 {
+				t.Errorf("%s: %d calls, the last after %v, %d lines", name, n, last, b.log.count("the list stays as it is"))
+			}
+			for ev := b.next(0); ev != nil; ev = b.next(0) {
+				if ev.News {
+					t.Errorf("%s: told %+v", name, ev)
+				}
+			}
+		})
+	}
+}
+
+// An answer over the limit is an error of its own, which names size and limit; the list that is known stays.
+func TestOversizeIsNamed(t *testing.T) {
+	for name, x := range map[string]struct{ head, want string }{
+		"length told": {fmt.Sprintf("Content-Length: %d\r\n", LeastBytes+1), fmt.Sprintf("too large: %d bytes, the limit is %d", LeastBytes+1, LeastBytes)},
+		"no length":   {"", "the list is too large: over"},
+	} {
+		inBubble(t, 0, func(b *bubble, w io.Writer) {
+			io.WriteString(w, head+x.head+"\r\n"+`{"generation":6,"reset":true,"instances":[`)
+			row := `{"instanceId":"a","hostPort":"h:1","lifecycle":"up"},` + strings.Repeat(" ", 1000)
+			for range 2 * LeastBytes / len(row) {
+				if _, err := io.WriteString(w, row); err != nil {
+					return
+				}
+			}
+		}, func(b *bubble) {
+			time.Sleep(time.Second)
+			if n, _ := b.calls(); n < 2 || b.log.count(x.want) < 1 || b.log.count("the list stays as it is") < 1 {
+				t.Errorf("%s: %d calls, log %s", name, n, b.log.text.String())
+			}
+		})
+	}
+	inBubble(t, 0, func(b *bubble, w io.Writer) { // many short rows take more memory than their bytes
+		io.WriteString(w, head+"\r\n"+`{"generation":6,"reset":true,"instances":[`)
+		for range LeastBytes / 10 / 100 {
+			if _, err := io.WriteString(w, strings.Repeat(`{"cell":1},`, 100)); err != nil {
+				return
+			}
+		}
+	}, func(b *bubble) {
+		time.Sleep(time.Second)
+		if want := fmt.Sprintf("too large: over %d rows", LeastBytes/rowBytes); b.log.count(want) < 1 {
+			t.Errorf("log %s", b.log.text.String())
+		}
+	})
+}
+
+// A list of 40,000 entries is over the least limit; where the platform gives the memory it is read, at the first call.
+func TestLimitFollowsMemory(t *testing.T) {
+	var text strings.Builder
+	published(&text, 6, 40000)
+	for _, x := range []struct {
+		most int64
+		rows int
+	}{{0, 0}, {32 << 20, 40000}} {
+		inBubble(t, x.most, func(b *bubble, w io.Writer) { io.WriteString(w, head+"\r\n"+text.String()) }, func(b *bubble) {
+			ev := b.next(50 * time.Millisecond)
+			if x.rows == 0 && ev != nil || x.rows > 0 && (ev == nil || len(ev.Update.Rows) != x.rows) {
+				t.Errorf("limit %d: told %v", x.most, ev != nil)
+			}
+			if n, _ := b.calls(); n != 1 {
+				t.Errorf("limit %d: %d calls", x.most, n)
+			}
+		})
+	}
+}
--- a/internal/discovery/stream.go
+++ b/internal/discovery/stream.go
@@ -56,13 +56,14 @@
 	return c.update(l.Generation, l.Reset)
 }
 
-// read reads an answer row by row, its fields in any order, and compares it with the directory. It holds no more of it
+// read reads an answer of so many rows at most, row by row, its fields in any order, and compares it with the directory. It holds no more of it
 // than the rows that differ.
-func (d *Directory) read(in io.Reader) (*answer, error) {
+func (d *Directory) read(in io.Reader, most int) (*answer, error) {
 	bound := &boundedLookAhead{in: in}
 	dec := json.NewDecoder(bound)
 	bound.dec = dec
 	a, c := &answer{}, d.compare()
+	c.most = most
 	if err := expect(dec, json.Delim('{')); err != nil {
 		return nil, err
 	}
@@ -156,6 +157,7 @@
 	index      map[string]int32                            // ... and where it is there
 	words      map[string]string                           // zones and kinds, each kept once
 	count      int
+	most       int // rows that the answer may have; 0 for no limit
 	unusable   int
 	duplicates int
 }
@@ -175,6 +177,9 @@
 	}
 	var r rowText
 	for dec.More() {
+		if c.count == c.most && c.most > 0 {
+			return true, fmt.Errorf("%w: over %d rows", errOversize, c.most)
+		}
 		r.reset()
 		err := dec.Decode(&r)
 		var wrong *json.UnmarshalTypeError
--- a/internal/discovery/stream_test.go
+++ b/internal/discovery/stream_test.go
@@ -18,7 +18,7 @@
 
 func mustRead(t testing.TB, d *Directory, in io.Reader) *answer {
 	t.Helper()
-	a, err := d.read(in)
+	a, err := d.read(in, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -92,7 +92,7 @@
 func TestCutAnswers(t *testing.T) {
 	d := NewDirectory(nil, nil)
 	for i := range three {
-		if _, err := d.read(strings.NewReader(three[:i])); err == nil {
+		if _, err := d.read(strings.NewReader(three[:i]), 0); err == nil {
 			t.Errorf("%q is taken", three[:i])
 		}
 	}
@@ -129,7 +129,7 @@
 		if i := slices.IndexFunc(a.Rows, func(in Instance) bool { return in.ID == "a" && in.Lifecycle == "up" }); i >= 0 && a.Rows[i].Dest != 6 {
 			t.Errorf("%s: a is %+v, want the last row", x.rows, a.Rows[i])
 		}
-		if a, err := d.read(strings.NewReader(`{"generation":2,"reset":true,"instances":[7,{"hostPort":"h:1"}]}`)); err == nil {
+		if a, err := d.read(strings.NewReader(`{"generation":2,"reset":true,"instances":[7,{"hostPort":"h:1"}]}`), 0); err == nil {
 			t.Errorf("a list without a row that makes sense is taken: %+v", a)
 		}
 	}
@@ -139,7 +139,7 @@
 func TestEndlessValue(t *testing.T) {
 	for _, begin := range []string{`{"instances":[{"instanceId":"`, `{"`, `{"more":"`, `{"generation":`, `{"instances":[{"x":[`} {
 		text := &counted{in: io.MultiReader(strings.NewReader(begin), endless("1,"[:1]))}
-		if _, err := NewDirectory(nil, nil).read(text); err == nil || text.n > 4*longestRow {
+		if _, err := NewDirectory(nil, nil).read(text, 0); err == nil || text.n > 4*longestRow {
 			t.Errorf("%s: %d bytes read, %v", begin, text.n, err)
 		}
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -25,6 +25,11 @@
 	DiskMB   float64 `json:"disk_mb"`
 }
 
+// listBytes is how long an answer of discovery may be. Beside it, what it holds is kept twice for a moment.
+func (l Limits) listBytes() int64 {
+	return max(int64(l.MemoryMB*(1<<20)/8), discovery.LeastBytes)
+}
+
 // Config is what the platform tells a sender at its start.
 type Config struct {
 	Name      string
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -99,3 +99,15 @@
 		t.Errorf("%v with no calls out, %v with 5000", none, many)
 	}
 }
+
+// How long a list may be follows from the memory that the platform gives.
+func TestListFitsMemory(t *testing.T) {
+	for _, x := range []struct {
+		memory float64
+		want   int64
+	}{{0, 4 << 20}, {16, 4 << 20}, {192, 24 << 20}, {256, 32 << 20}} {
+		if got := (Limits{MemoryMB: x.memory}).listBytes(); got != x.want {
+			t.Errorf("%v MB: %d bytes, want %d", x.memory, got, x.want)
+		}
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -158,7 +158,7 @@
 func (n *Node) discoveryClient() *discovery.Client {
 	set := &n.cfg.Deploy.Settings
 	return discovery.NewClient(discovery.Config{Addr: n.cfg.Discovery, Senders: set.Senders, Grace: span(set.DrainGrace),
-		Seed: n.cfg.Seed, Directory: n.dir, Log: n.log}, n.events)
+		Seed: n.cfg.Seed, MaxBytes: n.cfg.Limits.listBytes(), Directory: n.dir, Log: n.log}, n.events)
 }
 
 // target is where an endpoint can be reached; without an address if it never had one.
