Back off for longer after each answer of discovery that can't be taken

Cause: after an unreadable or older answer discovery was called again every 100 ms, by each sender, for as long as it lasted.

Change: an answer that is unreadable, older or too large is followed by a pause of 100 ms on average, doubled with each further one up to 2.8 s, each a quarter longer or shorter by chance, and kept from one watch to the next until a good answer comes. With the call it stays under the 6 s after which a change counts as told. The good list stays in force.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -32,8 +32,10 @@
 	promptHold = time.Millisecond        // hold of the call that asks for such an answer
 	accepted   = 2200 * time.Millisecond // a call that is out for longer was not rejected: it waits for news
 	ListAge    = 5800 * time.Millisecond // of an answer, when what changed since counts as told; a bit less than 6 s
-	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing, or with nonsense
-	badMost    = 5                       // answers with nonsense, one after the other, until discovery is left alone for a while
+	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing
+	badMost    = 5                       // answers that can't be taken, one after the other, until the call counts as failed
+	badFirst   = 100 * time.Millisecond  // mean backoff after an answer that can't be taken, doubled with each ...
+	badLongest = 2800 * time.Millisecond // ... up to this: with a quarter more and the next call it stays under 6 s
 	LeastBytes = 4 << 20                 // bytes of an answer that are always taken
 	rowBytes   = 96                      // of an answer: it has no more rows than bytes / rowBytes
 	readAhead  = 64 << 10                // bytes of an answer that are read at once
@@ -86,6 +88,7 @@
 	gen     int64         // ... the version of the list that the loop has ...
 	back    bool          // ... whether this is a restart ...
 	begun   bool          // ... whether the first call has been made ...
+	backoff time.Duration // ... the mean pause after an answer that can't be taken, 0 after a good one ...
 	busy    bool          // ... whether discovery is too busy for many senders that ask at once ...
 	started bool          // ... and whether there is such a list
 	applied chan struct{} // closed once the loop has applied the last update; nil before the first
@@ -157,15 +160,16 @@
 		if moved := d.end(); ctx.Err() != nil {
 			return
 		} else if moved {
-			bad = 0
+			bad, d.backoff = 0, 0
 			continue // what the old address said last, the new one says too
 		}
 		if err == nil {
 			err = d.sense(list)
 		}
 		if bad++; bad < badMost && (errors.Is(err, errUnreadable) || errors.Is(err, errOlder) || errors.Is(err, errOversize)) {
-			d.log.Warn("discovery, the list stays as it is", "err", err, "known", d.gen)
-			d.wait(ctx, emptyPause) // it has time, and what it has to tell counts as told
+			pause := d.backOff()
+			d.log.Warn("discovery, the list stays as it is", "err", err, "known", d.gen, "again in", pause.String())
+			d.wait(ctx, pause) // not for long: what it has to tell counts as told
 			continue
 		}
 		if errors.Is(err, errOlder) {
@@ -177,7 +181,7 @@
 			d.emit(ctx, Event{Err: err})
 			return
 		}
-		bad = 0
+		bad, d.backoff = 0, 0
 		d.gen, d.started = list.Generation, true
 		pause, took := time.Duration(0), time.Since(at)
 		if direct || list.count > 0 && took < prompt {
@@ -255,6 +259,13 @@
 	}
 }
 
+// backOff is the pause after an answer that can't be taken. It grows until a good one comes, also from one watch to the
+// next.
+func (d *Client) backOff() time.Duration {
+	d.backoff = min(max(2*d.backoff, badFirst), badLongest)
+	return d.backoff*3/4 + time.Duration(d.rng.Int64N(int64(d.backoff)/2))
+}
+
 // wait pauses, unless ctx or a move of discovery ends it.
 func (d *Client) wait(ctx context.Context, pause time.Duration) {
 	select {
--- a/internal/discovery/harness_test.go
+++ b/internal/discovery/harness_test.go
@@ -118,6 +118,7 @@
 	log    *lines
 	events chan any
 	begun  time.Time
+	watch  func() // once more, after a watch has ended
 	mu     sync.Mutex
 	asked  []time.Duration // when each call came
 	query  []string
@@ -147,13 +148,12 @@
 			}}, b.events)
 		b.Begin(5, true)
 		ctx, stop := context.WithCancel(t.Context())
-		done := make(chan bool)
-		go func() { defer close(done); b.Watch(ctx) }()
+		b.watch = func() { served.Go(func() { b.Watch(ctx) }) }
+		b.watch()
 		test(b)
 		stop()
-		<-done
-		b.client.CloseIdleConnections()
 		served.Wait()
+		b.client.CloseIdleConnections()
 	})
 }
 
--- a/internal/discovery/limits_test.go
+++ b/internal/discovery/limits_test.go
@@ -125,3 +125,43 @@
 		})
 	}
 }
+
+// Answers that can't be taken are followed by a pause that grows, also beyond the watch that they end; whatever it is, a
+// change is known within 6 s of discovery answering well again, and from then on nothing is late.
+func TestBackoffAfterBadAnswers(t *testing.T) {
+	for name, bad := range map[string]string{
+		"unreadable": head + "Content-Length: 5\r\n\r\n<html",
+		"older":      head + "\r\n" + `{"generation":4,"reset":false,"instances":[]}`,
+		"too large":  head + "Content-Length: 99999999\r\n\r\n{",
+	} {
+		for seconds := 1; seconds <= 30; seconds += 7 {
+			well := time.Duration(seconds) * time.Second
+			inBubble(t, 0, func(b *bubble, w io.Writer) {
+				if time.Since(b.begun) < well {
+					io.WriteString(w, bad)
+					return
+				}
+				text := `{"generation":6,"reset":true,"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"up"}]}`
+				fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n%s", head, len(text), text)
+			}, func(b *bubble) {
+				for time.Since(b.begun) < time.Minute {
+					ev := b.next(time.Minute)
+					if ev == nil || ev.News {
+						break
+					}
+					b.watch() // as the module has it do, after half a second
+				}
+				n, last := b.calls()
+				if late := time.Since(b.begun) - well; late < 0 || late > 6*time.Second {
+					t.Errorf("%s for %v: known %v later", name, well, late)
+				}
+				if most := 8 + seconds/2; n > most { // a call every 100 ms would be 10 a second
+					t.Errorf("%s for %v: %d calls, want %d at most (the last after %v)", name, well, n, most, last)
+				}
+				if b.backoff != 0 {
+					t.Errorf("%s: the pause is still %v after a good answer", name, b.backoff)
+				}
+			})
+		}
+	}
+}
