Tell the module of at most 1024 endpoints of one destination

Cause: the module looks at each endpoint of a destination for each call and each new one. With 100,000 rows of one destination the step that took the list ran for 29 s and a step with one message for 56 s, where a thread that neither waits nor ends for 20 s is a crash.

Change: the directory keeps all rows and tells 1024 that are up of each destination; the others come in as those drain, move or go.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -15,6 +15,7 @@
 	goneKept  = 10 * time.Minute // what is not listed keeps its number for so long
 	pageSize  = 256              // records that are kept together
 	labelMost = 4096             // different zones, or kinds, that are told apart
+	tellMost  = 1024             // endpoints of one destination that the module is told of: it looks at each for each call
 )
 
 // Directory is the replica of the list: it maps names to the module's numbers and numbers to targets. Only the owner of
@@ -28,7 +29,10 @@
 	last   logic.EndpointID
 	gone   map[logic.EndpointID]time.Time // since when what has a number is not listed
 	listed int
-	doubts int // records whose state is not known
+	doubts int                                     // records whose state is not known
+	told   map[int64]int                           // endpoints of a destination that are up and told
+	spare  map[int64]map[logic.EndpointID]struct{} // endpoints of one that are listed and not told
+	aside  int                                     // all of those
 }
 
 type page struct {
@@ -45,6 +49,7 @@
 	zone   uint16
 	kind   uint16
 	state  state
+	told   bool // the module knows it
 }
 
 type state uint8
@@ -133,7 +138,8 @@
 		names = append(names, k.Name)
 	}
 	return &Directory{zones: newLabels(zones), kinds: newLabels(names), ids: map[string]logic.EndpointID{},
-		pages: map[logic.EndpointID]*page{}, gone: map[logic.EndpointID]time.Time{}}
+		pages: map[logic.EndpointID]*page{}, gone: map[logic.EndpointID]time.Time{}, told: map[int64]int{},
+		spare: map[int64]map[logic.EndpointID]struct{}{}}
 }
 
 // record is the place of a number's record; nil if there is none.
@@ -151,10 +157,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	rows := make([]logic.Entry, 0, len(u.Rows))
+	var short []int64 // destinations that may have room for what was left aside
 	for i := range u.Rows {
 		in := &u.Rows[i]
 		id := d.number(in.ID)
 		r := d.record(id)
+		left := r.dest
+		d.uncount(id, r)
 		d.set(id, r, stateOf(in.Lifecycle), now)
 		if r.state.listed() {
 			r.zone, r.kind, r.dest, r.weight = d.zones.add(in.Zone), d.kinds.add(in.Kind), in.Dest, in.Weight
@@ -162,7 +171,74 @@
 		if reachable(in.HostPort) {
 			r.addr = in.HostPort
 		}
-		rows = append(rows, d.entry(id, r))
+		if was := r.told; d.count(id, r) {
+			rows = append(rows, d.entry(id, r))
+		} else if was {
+			row := d.entry(id, r)
+			row.State = logic.Gone
+			rows = append(rows, row)
+		}
+		if len(d.spare[left]) > 0 {
+			short = append(short, left)
+		}
+	}
+	for _, dest := range short {
+		rows = d.fill(dest, rows)
+	}
+	u.Aside = d.aside
+	return rows
+}
+
+// uncount takes a record out of the count of what is told, before it changes.
+func (d *Directory) uncount(id logic.EndpointID, r *record) {
+	switch {
+	case r.told && r.state == up:
+		if d.told[r.dest]--; d.told[r.dest] == 0 {
+			delete(d.told, r.dest)
+		}
+	case !r.told && r.state.listed():
+		d.aside--
+		if delete(d.spare[r.dest], id); len(d.spare[r.dest]) == 0 {
+			delete(d.spare, r.dest)
+		}
+	}
+}
+
+// count says whether the module is to know a record, and counts it. What drains takes no room, but is not told anew
+// where there is none.
+func (d *Directory) count(id logic.EndpointID, r *record) bool {
+	room := d.told[r.dest] < tellMost
+	switch {
+	case !r.state.listed():
+		r.told = false
+	case r.state == up && room:
+		d.told[r.dest]++
+		r.told = true
+	case r.state == draining && (r.told || room):
+		r.told = true
+	default:
+		r.told = false
+		if d.spare[r.dest] == nil {
+			d.spare[r.dest] = map[logic.EndpointID]struct{}{}
+		}
+		d.spare[r.dest][id] = struct{}{}
+		d.aside++
+	}
+	return r.told
+}
+
+// fill tells the module of endpoints that were left aside, as far as there is room.
+func (d *Directory) fill(dest int64, rows []logic.Entry) []logic.Entry {
+	for id := range d.spare[dest] {
+		r := d.record(id)
+		if d.told[dest] >= tellMost {
+			break
+		}
+		if r.state == up {
+			d.uncount(id, r)
+			d.count(id, r)
+			rows = append(rows, d.entry(id, r))
+		}
 	}
 	return rows
 }
@@ -311,13 +387,13 @@
 	}
 }
 
-// Entries is all that is listed as the module is told of it.
+// Entries is all that the module is told of.
 func (d *Directory) Entries() []logic.Entry {
 	d.mu.RLock()
 	defer d.mu.RUnlock()
 	rows := make([]logic.Entry, 0, d.listed)
 	for id, r := range d.records() {
-		if r.state.listed() {
+		if r.told {
 			rows = append(rows, d.entry(id, r))
 		}
 	}
@@ -365,6 +441,7 @@
 		r.addr, r.dest = t.Addr, t.Dest
 		r.zone, r.kind = d.zones.at(t.Zone), d.kinds.at(t.Kind)
 	}
+	r.told = true
 	d.set(id, r, doubtful, time.Time{})
 }
 
@@ -382,6 +459,7 @@
 	defer d.mu.Unlock()
 	for id, r := range d.records() {
 		if r.state == doubtful {
+			r.told = false
 			d.set(id, r, unlisted, now)
 		}
 	}
--- a/internal/discovery/directory_test.go
+++ b/internal/discovery/directory_test.go
@@ -66,3 +66,62 @@
 		t.Errorf("states %v, %v", rows[0].State, rows[1].State)
 	}
 }
+
+// Of a destination with very many endpoints the module is told of some, since it looks at each for each call; the others
+// come in as those go, however they go, and nothing that can serve is left out while there is room.
+func TestCrowdedDestination(t *testing.T) {
+	const all = 3 * tellMost
+	d := NewDirectory(nil, nil)
+	module := map[logic.EndpointID]logic.Entry{}
+	whole := List{Reset: true}
+	for i := range all {
+		whole.Instances = append(whole.Instances, Instance{ID: fmt.Sprint(i), HostPort: "h:1", Dest: 1, Lifecycle: "up"})
+	}
+	whole.Instances = append(whole.Instances, Instance{ID: "other", HostPort: "h:1", Dest: 2, Lifecycle: "up"})
+	check := func(what string, l List, wantUp, wantAside int) {
+		t.Helper()
+		u := d.Reduce(l)
+		for _, row := range d.Apply(&u, time.Now()) {
+			if row.State == logic.Gone {
+				delete(module, row.Endpoint)
+			} else {
+				module[row.Endpoint] = row
+			}
+		}
+		ready, other := 0, 0
+		for _, row := range module {
+			if row.Dest == 2 {
+				other++
+			} else if row.State == logic.Ready {
+				ready++
+			}
+		}
+		if ready != wantUp || other != 1 || u.Aside != wantAside || len(d.Entries()) != len(module) {
+			t.Errorf("%s: the module has %d (%d of another), %d left aside, %d entries of %d", what, ready, other, u.Aside,
+				len(d.Entries()), len(module))
+		}
+	}
+	part := func(from, to int, lifecycle string) List {
+		var l List
+		for _, in := range whole.Instances[from:to] {
+			in.Lifecycle = lifecycle
+			l.Instances = append(l.Instances, in)
+		}
+		return l
+	}
+	check("all", whole, tellMost, all-tellMost)
+	check("again", whole, tellMost, all-tellMost)
+	check("a third drains", part(0, tellMost, "draining"), tellMost, all-2*tellMost)
+	check("and is up again", part(0, tellMost, "up"), tellMost, all-tellMost)
+	check("two thirds go", part(0, 2*tellMost, "removed"), tellMost, 0)
+	check("and some more", part(2*tellMost, 2*tellMost+10, "removed"), tellMost-10, 0)
+	check("all are back", whole, tellMost, all-tellMost)
+	moved := part(0, all, "up")
+	for i := range moved.Instances {
+		moved.Instances[i].Dest = int64(3 + i)
+	}
+	u := d.Reduce(moved)
+	if d.Apply(&u, time.Now()); u.Aside != 0 || len(d.Entries()) != all+1 || len(d.told) != all+1 || len(d.spare) != 0 {
+		t.Errorf("each of its own: %d left aside, %d entries, %d destinations", u.Aside, len(d.Entries()), len(d.told))
+	}
+}
