Begin a restart with the list that was saved, and ask for changes only

Cause: what a sender was told outlived it only through a handover. After a crash or a restart it began with the configuration's list, or none, and had to ask for the whole one.

Change: the client saves each update once it is applied, while the next call is out: as a change, or the whole list where none is saved, it came from another address or changes have grown to half of it. A start begins with the saved list or the configuration's, whichever is newer; a saved list of another address serves while the whole list is asked for. A torn or bad copy is refused with a line in the log, and the list of the configuration counts. A process that takes over reads from a saved list of up to 20,000 rows what a handover does not tell.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 )
@@ -70,6 +71,7 @@
 	Seed      uint64
 	MaxBytes  int64 // of an answer; LeastBytes at least
 	Directory *Directory
+	Store     *Store // keeps the list for the next start; nil for none
 	Log       *slog.Logger
 	Dial      func(ctx context.Context, network, addr string) (net.Conn, error) // nil for TCP
 }
@@ -78,6 +80,7 @@
 type Client struct {
 	client  *http.Client
 	dir     *Directory
+	store   *Store
 	log     *slog.Logger
 	events  chan<- any
 	hold    time.Duration // how long a watch may wait for news
@@ -89,6 +92,10 @@
 	back    bool          // ... whether this is a restart ...
 	begun   bool          // ... whether the first call has been made ...
 	backoff time.Duration // ... the mean pause after an answer that can't be taken, 0 after a good one ...
+	unsaved *Update       // ... the update that is yet to be saved ...
+	source  string        // ... the address that it came from ...
+	noRoom  int           // ... how long a list had no room on disk, 0 if none did ...
+	unkept  bool          // ... whether the last update could not be saved ...
 	busy    bool          // ... whether discovery is too busy for many senders that ask at once ...
 	started bool          // ... and whether there is such a list
 	applied chan struct{} // closed once the loop has applied the last update; nil before the first
@@ -116,7 +123,7 @@
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
 	return &Client{base: "http://" + cfg.Addr, hold: hold, spread: spread, first: first, most: max(cfg.MaxBytes, LeastBytes),
-		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), dir: cfg.Directory, log: cfg.Log, events: events, wake: make(chan struct{}, 1),
+		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), dir: cfg.Directory, store: cfg.Store, log: cfg.Log, events: events, wake: make(chan struct{}, 1),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
 }
@@ -182,11 +189,14 @@
 			return
 		}
 		bad, d.backoff = 0, 0
-		d.gen, d.started = list.Generation, true
 		pause, took := time.Duration(0), time.Since(at)
 		if direct || list.count > 0 && took < prompt {
 			d.busy = took >= prompt
 		}
+		if len(list.Rows) > 0 || list.Generation != d.gen || !d.started {
+			d.unsaved, d.source = &list.Update, strings.TrimPrefix(base, "http://")
+		}
+		d.gen, d.started = list.Generation, true
 		applied := make(chan struct{})
 		d.applied = applied
 		d.emit(ctx, Event{Update: list.Update, News: true, Done: sync.OnceFunc(func() { close(applied) })})
@@ -223,6 +233,9 @@
 		list, err := d.get(ctx, url, limit, begun)
 		answers <- result{list, err}
 	}()
+	if d.settled(ctx) == nil {
+		d.save() // the answer is not compared with what changes meanwhile: the next update is told after this
+	}
 	out := time.NewTimer(accepted)
 	defer out.Stop()
 	select {
@@ -238,6 +251,30 @@
 	return a.list, a.err
 }
 
+// save keeps the last update on disk once it is applied, as a change or with the whole list.
+func (d *Client) save() {
+	u := d.unsaved
+	if d.unsaved = nil; u == nil || d.store == nil || !d.dir.Known() || d.noRoom > 0 && d.dir.Len()*10 > d.noRoom*9 {
+		return
+	}
+	saved, err := d.store.Peek()
+	whole := err != nil || saved.Origin != d.source || d.store.Stale()
+	if !whole {
+		err = d.store.Append(u.Generation, u.Rows)
+		whole = err != nil && d.store.Stale()
+	}
+	if whole {
+		d.noRoom = 0
+		if err = d.store.Replace(d.source, u.Generation, d.dir.All()); errors.Is(err, errNoRoom) {
+			d.noRoom = d.dir.Len()
+		}
+	}
+	if err != nil && !d.unkept {
+		d.log.Warn("the list is not kept for the next start", "entries", d.dir.Len(), "err", err)
+	}
+	d.unkept = err != nil
+}
+
 // emit sends an event, unless ctx ends first.
 func (d *Client) emit(ctx context.Context, ev Event) {
 	select {
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -129,6 +129,9 @@
 	Zone int    // place in the settings' zones; -1 if they do not have it
 	Dest int64
 	Kind int // place in the settings' kinds; -1 if they do not have it
+
+	Lifecycle string  // what the list says: up, draining or removed; empty if that is not known
+	Weight    float64 // as in Instance
 }
 
 // NewDirectory returns an empty directory; zones and kinds are those of the settings.
@@ -342,7 +345,11 @@
 	if r == nil || r.addr == "" {
 		return Target{}, false
 	}
-	return Target{Addr: r.addr, Zone: d.zones.places[r.zone], Dest: r.dest, Kind: d.kinds.places[r.kind]}, true
+	t := Target{Addr: r.addr, Zone: d.zones.places[r.zone], Dest: r.dest, Kind: d.kinds.places[r.kind], Weight: r.weight}
+	if r.state != doubtful {
+		t.Lifecycle = r.state.lifecycle()
+	}
+	return t, true
 }
 
 // Len is the number of endpoints that are listed.
@@ -428,8 +435,8 @@
 	}
 }
 
-// Adopt takes a number of another process over, with its target (without an address if it has none). Whether it is
-// listed is not known until the list tells.
+// Adopt takes a number of another process over, with its target (without an address if it has none), before the first
+// update. Where no lifecycle comes with it, whether it is listed is not known until the list tells.
 func (d *Directory) Adopt(name string, id logic.EndpointID, t Target) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -441,8 +448,14 @@
 		r.addr, r.dest = t.Addr, t.Dest
 		r.zone, r.kind = d.zones.at(t.Zone), d.kinds.at(t.Kind)
 	}
-	r.told = true
-	d.set(id, r, doubtful, time.Time{})
+	if t.Lifecycle == "" {
+		r.told = true
+		d.set(id, r, doubtful, time.Time{})
+		return
+	}
+	r.weight = t.Weight
+	d.set(id, r, stateOf(t.Lifecycle), time.Now())
+	d.count(id, r)
 }
 
 // at is the label of a place in the settings.
--- a/internal/discovery/harness_test.go
+++ b/internal/discovery/harness_test.go
@@ -124,7 +124,7 @@
 	query  []string
 }
 
-func inBubble(t *testing.T, maxBytes int64, serve func(b *bubble, w io.Writer), test func(b *bubble)) {
+func inBubble(t *testing.T, maxBytes int64, serve func(b *bubble, w io.Writer), test func(b *bubble), with ...func(*Client)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		var served sync.WaitGroup
@@ -147,6 +147,9 @@
 				return ours, nil
 			}}, b.events)
 		b.Begin(5, true)
+		for _, f := range with {
+			f(b.Client)
+		}
 		ctx, stop := context.WithCancel(t.Context())
 		b.watch = func() { served.Go(func() { b.Watch(ctx) }) }
 		b.watch()
--- a/internal/discovery/limits_test.go
+++ b/internal/discovery/limits_test.go
@@ -3,8 +3,12 @@
 import (
 	"fmt"
 	"io"
+	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -165,3 +169,75 @@
 		}
 	}
 }
+
+// What is applied is saved, as a change where the saved list stands before it and whole where it does not; nothing is
+// written while nothing changes, and where there is no room one line says so.
+func TestUpdatesAreSaved(t *testing.T) {
+	answers := []string{ // one for each call
+		`{"generation":5,"reset":false,"instances":[]}`, // nothing has changed, nothing is saved
+		`{"generation":6,"reset":true,"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"up"},{"instanceId":"b","hostPort":"h:2","lifecycle":"up"}]}`,
+		`{"generation":6,"reset":false,"instances":[]}`,
+		`{"generation":7,"reset":false,"instances":[{"instanceId":"b","lifecycle":"removed"}]}`,
+		`{"generation":8,"reset":true,"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"up"},{"instanceId":"c","hostPort":"h:3","lifecycle":"draining"}]}`,
+		`{"generation":9,"reset":false,"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"up"},{"instanceId":"c","hostPort":"h:3","lifecycle":"up"}]}`,
+		`{"generation":9,"reset":false,"instances":[]}`,
+	}
+	want := []string{"none", "6: a up, b up", "6: a up, b up", "7: a up", "8: a up, c draining", "9: a up, c up", "9: a up, c up"}
+	for _, budget := range []int64{1 << 20, 100} {
+		dir := t.TempDir()
+		var n int
+		inBubble(t, 0, func(b *bubble, w io.Writer) {
+			if n == len(answers) {
+				time.Sleep(time.Hour)
+			}
+			n++
+			text := answers[n-1]
+			fmt.Fprintf(w, "%sContent-Length: %d\r\n\r\n%s", head, len(text), text)
+		}, func(b *bubble) {
+			for i := range answers {
+				x := (<-b.events).(Event)
+				for x.Watched {
+					x = (<-b.events).(Event)
+				}
+				if x.Err != nil {
+					t.Fatalf("answer %d: %v", i, x.Err)
+				}
+				b.dir.Apply(&x.Update, time.Now())
+				x.Done()
+				synctest.Wait()
+				if got := savedList(t, dir); budget > 1000 && got != want[i] || budget < 1000 && got != "none" {
+					t.Errorf("budget %d, after answer %d: saved %s, want %s", budget, i, got, want[i])
+				}
+			}
+			if lines := b.log.count("not kept for the next start"); budget > 1000 && lines != 0 || budget < 1000 && lines != 1 {
+				t.Errorf("budget %d: %d lines", budget, lines)
+			}
+		}, func(c *Client) { c.store = OpenStore(dir, budget, c.log) })
+	}
+}
+
+// savedList reads a copy of what is saved in a folder.
+func savedList(t *testing.T, dir string) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(dir, storeName))
+	if err != nil {
+		return "none"
+	}
+	at := t.TempDir()
+	if err := os.WriteFile(filepath.Join(at, storeName), text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	d := NewDirectory(nil, nil)
+	saved, err := OpenStore(at, 1<<20, quiet).Load(func(rows []Instance) error {
+		u := d.Reduce(List{Instances: rows})
+		d.Apply(&u, time.Now())
+		return nil
+	})
+	if err != nil {
+		return err.Error()
+	}
+	if saved.Origin != "discovery:1" {
+		t.Errorf("saved from %q", saved.Origin)
+	}
+	return fmt.Sprintf("%d: %s", saved.Generation, ids(slices.Collect(d.All())))
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -30,6 +30,22 @@
 	return max(int64(l.MemoryMB*(1<<20)/8), discovery.LeastBytes)
 }
 
+// diskMargin stays free: files are counted in whole blocks, and the platform ends a sender that has more than its disk.
+const diskMargin = 16 << 10
+
+// diskBytes is the disk that the platform gives; 0 if it sets no limit.
+func (l Limits) diskBytes() int64 { return int64(l.DiskMB * 1e6) }
+
+// storeBytes is what the saved list may take on disk beside the journal, which takes two files for the time of a
+// rewrite. What is on disk may count as memory: it is no more than two of the longest lists.
+func (l Limits) storeBytes() int64 {
+	left := 2 * l.listBytes()
+	if disk := l.diskBytes(); disk > 0 {
+		left = min(left, disk-2*journalLimit(disk)-diskMargin)
+	}
+	return max(left, 0)
+}
+
 // Config is what the platform tells a sender at its start.
 type Config struct {
 	Name      string
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -560,6 +560,7 @@
 	if l.Discovery == n.disc.Address() && l.Generation != 0 {
 		known, n.generation = l.Generation, l.Generation
 	}
+	n.matchSaved(l.Discovery, l.Generation)
 	n.disc.Begin(known, true) // this is no first start: the watch goes on at once
 	for id, t := range l.Recent {
 		n.recent[id] = time.UnixMicro(t)
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -102,13 +102,18 @@
 	dirty   bool            // the file lacks something that entries has: rewrite before the next append
 }
 
+// journalLimit bounds the journal's file where the platform gives so many bytes of disk.
+func journalLimit(diskBytes int64) int64 {
+	if diskBytes <= 0 {
+		return mostFile
+	}
+	return min(diskBytes*45/100, mostFile)
+}
+
 // OpenJournal replays the journal in dir, cuts a torn end off and makes it ready
 // for appending. Together its files stay under diskBytes.
 func OpenJournal(dir string, diskBytes int64) (*Journal, error) {
-	j := &Journal{dir: dir, entries: map[string]*Entry{}, out: map[string]bool{}, limit: min(diskBytes*45/100, mostFile)}
-	if diskBytes <= 0 {
-		j.limit = mostFile
-	}
+	j := &Journal{dir: dir, entries: map[string]*Entry{}, out: map[string]bool{}, limit: journalLimit(diskBytes)}
 	if err := os.Remove(j.path(".new")); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"log/slog"
 	"math"
 	"net"
@@ -28,6 +29,7 @@
 	tallyEvery = 5                      // sweeps between two lines on how calls went
 	retryPause = 250 * time.Millisecond // of an attempt that could not be written to the journal
 	eventRoom  = 4096
+	matchMost  = 20000 // rows of a saved list that are read during a handover
 )
 
 // replyEvent is the one outcome of an attempt.
@@ -80,6 +82,7 @@
 	sender  *logic.Sender
 	caller  *caller
 	dir     *discovery.Directory
+	saved   *discovery.Store
 	disc    watcher
 	notices *notices
 	clients *clients
@@ -128,6 +131,7 @@
 	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, heirs: make(chan heir), moves: make(chan struct{}, 1), writes: make(chan leave), dir: discovery.NewDirectory(cfg.Deploy.Zones, set.Kinds),
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
 		events: make(chan any, eventRoom), orders: make(chan order), ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
+	n.saved = discovery.OpenStore(cfg.StateDir, cfg.Limits.storeBytes(), log)
 	n.disc = n.discoveryClient()
 	n.notices = newNotices(cfg.Discovery, log, n.events)
 	n.clients = newClients(cfg, log, n.events)
@@ -158,7 +162,7 @@
 func (n *Node) discoveryClient() *discovery.Client {
 	set := &n.cfg.Deploy.Settings
 	return discovery.NewClient(discovery.Config{Addr: n.cfg.Discovery, Senders: set.Senders, Grace: span(set.DrainGrace),
-		Seed: n.cfg.Seed, MaxBytes: n.cfg.Limits.listBytes(), Directory: n.dir, Log: n.log}, n.events)
+		Seed: n.cfg.Seed, MaxBytes: n.cfg.Limits.listBytes(), Directory: n.dir, Store: n.saved, Log: n.log}, n.events)
 }
 
 // target is where an endpoint can be reached; without an address if it never had one.
@@ -168,7 +172,7 @@
 }
 
 func (n *Node) openJournal() (*Journal, error) {
-	return OpenJournal(n.cfg.StateDir, int64(n.cfg.Limits.DiskMB*1e6))
+	return OpenJournal(n.cfg.StateDir, n.cfg.Limits.diskBytes())
 }
 
 // Move takes another address of discovery, for the list and for notices. It may be called at any time.
@@ -457,11 +461,8 @@
 // resume hands the module what the journal holds, with what became of it so far. At a restart, also one with nothing
 // in its journal, what changed meanwhile is not in the list of the configuration.
 func (n *Node) resume() {
-	known := int64(-1)
-	if n.cfg.Known.Generation != 0 || len(n.cfg.Known.Instances) > 0 {
-		known, n.generation = n.cfg.Known.Generation, n.cfg.Known.Generation
-		u := n.dir.Reduce(n.cfg.Known)
-		n.dir.Apply(&u, time.Now())
+	known, listed := n.beginList()
+	if listed {
 		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.Entries(), Old: n.again})
 	}
 	n.disc.Begin(known, n.again)
@@ -498,6 +499,60 @@
 	}
 }
 
+// beginList fills the directory with the saved list or that of the configuration, whichever is newer, and says whether
+// there is one. Its generation is below 0 if changes to it can't be asked for: there is none, or it came from another
+// address, whose generations are others.
+func (n *Node) beginList() (generation int64, listed bool) {
+	now, known := time.Now(), n.cfg.Known
+	given := known.Generation != 0 || len(known.Instances) > 0
+	saved, err := n.saved.Peek()
+	same := saved.Origin == n.cfg.Discovery
+	if err == nil && (same && saved.Generation > known.Generation || !given) {
+		if saved, err = n.saved.Load(func(rows []discovery.Instance) error {
+			u := n.dir.Reduce(discovery.List{Instances: rows})
+			n.dir.Apply(&u, now)
+			return nil
+		}); err == nil {
+			n.log.Info("begins with the saved list", "generation", saved.Generation, "from", saved.Origin, "entries", n.dir.Len())
+			if !same {
+				return -1, true
+			}
+			n.generation = saved.Generation
+			return saved.Generation, true
+		}
+	}
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		n.log.Warn("the saved list is not used", "err", err)
+	}
+	known.Reset = true // what a saved list has told that broke off is dropped
+	u := n.dir.Reduce(known)
+	n.dir.Apply(&u, now)
+	if !given {
+		return -1, false
+	}
+	n.generation = known.Generation
+	return known.Generation, true
+}
+
+// matchSaved takes from the saved list what a handover does not tell, if it is the list that was handed over: else the
+// next whole list tells it, and nothing is saved until then. A long list would keep clients waiting.
+func (n *Node) matchSaved(origin string, generation int64) {
+	saved, err := n.saved.Peek()
+	if n.dir.Known() || err != nil || "http://"+saved.Origin != origin || saved.Generation != generation || saved.Count > matchMost {
+		return
+	}
+	now := time.Now()
+	if _, err := n.saved.Load(func(rows []discovery.Instance) error {
+		u := n.dir.Reduce(discovery.List{Instances: rows})
+		n.dir.Apply(&u, now) // the module knows it
+		return nil
+	}); err != nil {
+		n.log.Warn("the saved list is not used", "err", err)
+		return
+	}
+	n.dir.Settle(now)
+}
+
 // callOf is the module's view of a message.
 func (n *Node) callOf(m *Message, now int64) logic.Call {
 	c := logic.Call{ID: m.ID, Key: m.Order, Left: logic.Micros(m.Deadline - now), Dest: m.Dest, Tenant: -1, Class: n.cfg.Classes[m.Class]}
