--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -97,7 +97,6 @@
 	begun    bool  // something was loaded or replaced since the start
 	follows  bool  // what is told next follows what the file holds; otherwise an update would stand behind a gap
 	torn     bool  // it has a bad end that could not be cut off
-	futile   bool  // the last rewrite found no room
 }
 
 // OpenStore returns the store in dir. Its files together, each counted in whole 512 bytes, stay within budget bytes at
@@ -533,7 +532,6 @@
 	s.open()
 	s.begun = true
 	err := s.replace(origin, generation, rows)
-	s.futile = errors.Is(err, errNoRoom)
 	if err != nil {
 		s.follows = s.follows && s.saved.Origin == origin && s.saved.Generation == generation
 		return fmt.Errorf("saved list: %w", err)
@@ -640,7 +638,7 @@
 		return errLacks
 	}
 	if generation <= s.saved.Generation {
-		s.follows = len(rows) == 0
+		s.follows = generation == s.saved.Generation && len(rows) == 0 // a lower one is counted anew, or lost
 		return fmt.Errorf("saved list: %w: from %d to %d", errNotNewer, s.saved.Generation, generation)
 	}
 	if err := s.append(generation, rows); err != nil {
@@ -702,7 +700,8 @@
 }
 
 // Stale says that Replace is due: the updates have grown to more than half of the snapshot and some KB, there is hardly
-// room for more of them, or the file lacks changes. It does not say so once a rewrite has found no room, until one has.
+// room for more of them, or the file lacks changes. It says so also where Replace has found no room: whoever has heard
+// of that does not try again before the list is shorter.
 func (s *Store) Stale() bool {
 	if s.budget <= 0 {
 		return false
@@ -710,9 +709,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open()
-	if s.futile {
-		return false
-	}
 	updates := s.size - s.snapshot
 	return !s.have || !s.follows || updates > max(s.snapshot/2, staleLeast) || updates > 0 && !s.roomFor(packFrom)
 }
