--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1001,7 +1001,7 @@
 }
 
 // chance is how likely the present run of failures at e is where nothing is out; 1 if there is none.
-func (s *Sender) chance(e *endpoint) float64 { return s.likely(e.fails) }
+func (s *Sender) chance(e *endpoint) float64 { return s.likely(int(e.fails)) }
 
 func (s *Sender) likely(run int) float64 {
 	return math.Pow(min(max(s.stray, strayLeast), strayMost), float64(run))
@@ -1035,7 +1035,7 @@
 	run, ok := 0, longAgo
 	for _, x := range e.dest.eps {
 		if x.lane == e.lane {
-			run, ok = run+x.fails, max(ok, x.lastOK)
+			run, ok = run+int(x.fails), max(ok, x.lastOK)
 		}
 	}
 	return ok <= e.lastBad && s.now > ok+shortest && (ok == longAgo || s.now > e.lastBad+answered) &&
