--- a/logic/size_test.go
+++ b/logic/size_test.go
@@ -27,7 +27,7 @@
 	return set
 }
 
-func heap() uint64 {
+func liveHeap() uint64 {
 	runtime.GC()
 	runtime.GC()
 	var m runtime.MemStats
@@ -63,7 +63,7 @@
 					set, list := bigSettings(), bigList(dests, each)
 					for b.Loop() {
 						b.StopTimer()
-						before := heap()
+						before := liveHeap()
 						b.StartTimer()
 						s, err := New(set, 1)
 						if err != nil {
@@ -72,7 +72,7 @@
 						s.Step(0, []Event{list})
 						b.StopTimer()
 						traffic(s, 0, dests, rounds)
-						b.ReportMetric(float64(heap()-before)/float64(dests), "B/dest")
+						b.ReportMetric(float64(liveHeap()-before)/float64(dests), "B/dest")
 						runtime.KeepAlive(s)
 						b.StartTimer()
 					}
@@ -147,14 +147,14 @@
 func TestDestinationsStaySmall(t *testing.T) {
 	const dests, most = 20_000, 900
 	list := bigList(dests, 2)
-	before := heap()
+	before := liveHeap()
 	s, err := New(bigSettings(), 1)
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.Step(0, []Event{list})
 	now := traffic(s, 0, dests, 4)
-	if n := (int64(heap()) - int64(before)) / dests; n > most {
+	if n := (int64(liveHeap()) - int64(before)) / dests; n > most {
 		t.Errorf("%d B a destination, want at most %d", n, most)
 	}
 	// What was learned goes once it has aged, though no message comes for most of them.
