Keep descriptors free for discovery: clients and calls share the rest

Symptom: with 256 descriptors, 120 calls out at endpoints that do not answer and a crowd of idle clients, the process held 256 of 256; when discovery was back it was never reached within 20 s (refused, reset), and after silence the notice came 15.3 s late.

Cause: nothing summed up what may be held. newClients() let clients have half, newCaller() idle connections a quarter, and the calls out had as many as the settings have slots, whatever was left. Ruled out: the client's pauses (it asked every 0.5 s, each dial failed for want of a descriptor), the list itself. An evicted client's descriptor lives until its reader has ended, so a burst of accepts could pass any bound as well.

A call's connection takes the place of an idle or stalled client, but leaves clients a third; then an idle connection to an endpoint gives way; else the call waits, and one that gets none speaks against no endpoint. Slots beyond that are cut with a line. A lower limit of the system counts.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"crossdeal/logic"
@@ -59,6 +60,9 @@
 // unanswered names, in the tally, the ends of a call that no answer came to.
 var unanswered = map[logic.Outcome]string{logic.Severed: "broken", logic.Overdue: "timed_out", logic.Recalled: "called_off"}
 
+// errNoDescriptor ends a call for which no descriptor came free.
+var errNoDescriptor = errors.New("no descriptor is free")
+
 // result is how a call ended.
 type result struct {
 	outcome logic.Outcome
@@ -75,6 +79,16 @@
 	limit *io.LimitedReader
 	addr  string
 	since time.Time
+	fds   atomic.Pointer[clients] // whose table counts it, until it is closed
+}
+
+// Close gives its descriptor back, once.
+func (conn *idleConn) Close() error {
+	err := conn.Conn.Close()
+	if fds := conn.fds.Swap(nil); fds != nil {
+		fds.endCall()
+	}
+	return err
 }
 
 // caller makes calls over connections that it keeps. It never sends anything
@@ -85,7 +99,8 @@
 	linger      time.Duration
 	idleTime    time.Duration
 	perEndpoint int
-	most        int // idle connections in all
+	most        int      // idle connections in all
+	fds         *clients // share the descriptors with our connections; nil if there are enough
 	mu          sync.Mutex
 	idle        map[logic.EndpointID][]*idleConn
 	count       int
@@ -120,6 +135,9 @@
 func (c *caller) do(ctx context.Context, in *call) result {
 	deadline := in.at.Add(in.giveUp)
 	conn, err := c.connect(ctx, in, deadline)
+	if errors.Is(err, errNoDescriptor) { // which speaks against no endpoint
+		in.state.CompareAndSwap(callConnecting, callHeld)
+	}
 	if err == nil && conn != in.kept && in.allow != nil && !in.allow(ctx) {
 		in.state.CompareAndSwap(callConnecting, callHeld)
 	}
@@ -171,6 +189,7 @@
 
 // await waits for the answer to a call that has been written.
 func (c *caller) await(ctx context.Context, in *call, conn *idleConn, deadline time.Time) (r result) {
+	c.own(conn)
 	keep := false
 	defer func() {
 		if r.parked == nil && (!keep || !c.put(in.ep, conn)) {
@@ -272,11 +291,70 @@
 	c.note("dialed")
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
-	conn, err := c.dialer.DialContext(ctx, "tcp", in.addr)
+	if err := c.waitDescriptor(ctx); err != nil {
+		return nil, err
+	}
+	dialed, err := c.dialer.DialContext(ctx, "tcp", in.addr)
 	if err != nil {
+		if c.fds != nil {
+			c.fds.endCall()
+		}
+		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
+			err = errNoDescriptor
+		}
 		return nil, err
 	}
-	return newIdleConn(conn, in.addr), nil
+	conn := newIdleConn(dialed, in.addr)
+	conn.fds.Store(c.fds)
+	return conn, nil
+}
+
+// waitDescriptor takes a descriptor for a new connection, if need be in place of one that is of less use. A client that
+// may be about to send its first request is of less use only once the call has waited.
+func (c *caller) waitDescriptor(ctx context.Context) error {
+	began, dearest := time.Now(), rankStalled
+	for c.fds != nil && !c.fds.beginCall(dearest) {
+		if time.Since(began) > stallTime {
+			dearest = rankNew
+		}
+		if c.dropOldest() {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			c.note("no_descriptor")
+			return errNoDescriptor
+		case <-time.After(acceptPause):
+		}
+	}
+	return nil
+}
+
+// dropOldest closes the connection that has stood idle longest; false if there is none.
+func (c *caller) dropOldest() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var of logic.EndpointID
+	var oldest *idleConn
+	for ep, list := range c.idle {
+		if len(list) > 0 && (oldest == nil || list[0].since.Before(oldest.since)) {
+			of, oldest = ep, list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	c.idle[of] = c.idle[of][1:]
+	c.count--
+	oldest.Close()
+	return true
+}
+
+// own counts a connection that another process has handed over.
+func (c *caller) own(conn *idleConn) {
+	if c.fds != nil && conn.fds.CompareAndSwap(nil, c.fds) {
+		c.fds.addCall()
+	}
 }
 
 func newIdleConn(conn net.Conn, addr string) *idleConn { return begunConn(conn, addr, nil) }
@@ -369,6 +447,7 @@
 	if len(c.idle[ep]) >= c.perEndpoint || c.count >= c.most {
 		return false
 	}
+	c.own(conn)
 	conn.since = time.Now()
 	conn.SetDeadline(time.Time{})
 	c.idle[ep] = append(c.idle[ep], conn)
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -45,6 +45,9 @@
 	events  chan<- any
 	most    int // connections
 	mu      sync.Mutex
+	fds     descriptors
+	ending  int        // connections that made room and whose readers, with their descriptors, are still there
+	ended   *sync.Cond // one of those is gone
 	conns   map[net.Conn]*standing
 	away    int // connections turned away, since the last report
 	evicted int // connections closed to make room, since the last report
@@ -63,6 +66,12 @@
 	next      string        // after it, where the new process serves clients
 }
 
+// Ranks of connections whose loss is a message's, see standing.rank.
+const (
+	rankStalled = 2
+	rankNew     = 3
+)
+
 // standing is what a connection has shown so far.
 type standing struct {
 	since  time.Time // of its start or its last answer
@@ -89,9 +98,9 @@
 	case x.proven:
 		return 1, last
 	case now.Sub(last) > stallTime:
-		return 2, last
+		return rankStalled, last
 	}
-	return 3, last
+	return rankNew, last
 }
 
 // hearing notes when bytes come on a connection.
@@ -119,7 +128,9 @@
 	if m := cfg.Limits.MemoryMB; m > 0 { // each may hold the whole of a request, read or half read
 		most = min(most, max(int(m*(1<<20)*clientPart)/(maxBulk+maxRest), 16))
 	}
-	return &clients{cfg: cfg, log: log, events: events, most: most, conns: map[net.Conn]*standing{}}
+	c := &clients{cfg: cfg, log: log, events: events, most: most, conns: map[net.Conn]*standing{}}
+	c.ended = sync.NewCond(&c.mu)
+	return c
 }
 
 // serve accepts connections until the listener is closed.
@@ -137,13 +148,16 @@
 			continue
 		}
 		c.mu.Lock()
-		ok := !c.closing && (len(c.conns) < c.most || c.makeRoom())
+		ok := !c.closing && (len(c.conns) < c.room() || c.makeRoom(rankNew))
 		if ok {
 			c.conns[conn] = &standing{since: time.Now()}
 			c.start(conn, time.Now().Add(requestTime)) // a peer is owed an answer or an end soon after it connects
 		} else {
 			c.away++
 		}
+		for c.ending > endingMost { // a burst must not outrun the readers that give their descriptors back
+			c.ended.Wait()
+		}
 		c.mu.Unlock()
 		if !ok {
 			conn.Close()
@@ -158,10 +172,14 @@
 		if c.handle(conn, first) {
 			return // parked
 		}
+		conn.Close()
 		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.conns[conn] == nil { // it made room
+			c.ending--
+			c.ended.Signal()
+		}
 		delete(c.conns, conn)
-		c.mu.Unlock()
-		conn.Close()
 	})
 }
 
@@ -322,17 +340,17 @@
 	return line
 }
 
-// makeRoom closes the connection that is the least loss, of several the one that has stood so longest. Its place is free
+// makeRoom closes the connection that is the least loss, up to a rank, of several the one that has stood so longest. Its place is free
 // at once, or a burst of new ones is turned away while the readers of those that make room still end. One that may be
 // parked for a handover is left to its reader; until that ends the table is one over. The caller holds c.mu.
-func (c *clients) makeRoom() bool {
+func (c *clients) makeRoom(dearest int) bool {
 	now := time.Now()
 	var worst net.Conn
 	var least int
 	var since time.Time
 	for conn, x := range c.conns {
 		rank, t := x.rank(now)
-		if rank >= 0 && (worst == nil || rank < least || rank == least && t.Before(since)) {
+		if rank >= 0 && rank <= dearest && (worst == nil || rank < least || rank == least && t.Before(since)) {
 			worst, least, since = conn, rank, t
 		}
 	}
@@ -347,6 +365,7 @@
 	}
 	delete(c.conns, worst)
 	worst.Close()
+	c.ending++
 	return true
 }
 
--- a/internal/node/crowd_test.go
+++ b/internal/node/crowd_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"log/slog"
@@ -57,7 +58,7 @@
 	for i := range 3 * c.most {
 		mine, theirs := net.Pipe()
 		t.Cleanup(func() { theirs.Close() })
-		if len(c.conns) >= c.most && !c.makeRoom() {
+		if len(c.conns) >= c.most && !c.makeRoom(rankNew) {
 			t.Fatalf("connection %d is turned away", i)
 		}
 		c.conns[mine] = &standing{since: time.Now()}
@@ -103,3 +104,51 @@
 		}
 	}
 }
+
+// Calls and clients share the descriptors: a call's connection makes an idle client give way, but not below the third
+// that clients may hold, and then idle connections to endpoints give way. Each is given back with its connection.
+func TestCallsAndClientsShareDescriptors(t *testing.T) {
+	c := newClients(&Config{Limits: Limits{Sockets: 96}}, slog.New(slog.DiscardHandler), nil)
+	calls := c.shareDescriptors(96, 0)
+	if calls != 96-96/4-32 {
+		t.Fatalf("%d calls", calls)
+	}
+	for range c.most {
+		mine, theirs := net.Pipe()
+		t.Cleanup(func() { theirs.Close() })
+		c.conns[mine] = &standing{since: time.Now().Add(-time.Minute), proven: true}
+	}
+	e := newEndpoint(t)
+	x := newCaller(time.Second, time.Minute, 100, 100)
+	x.fds = c
+	var conns []*idleConn
+	for range calls {
+		conn, err := x.connect(t.Context(), &call{ep: 1, addr: e.addr(), allow: func(context.Context) bool { return true }}, time.Now().Add(patience))
+		if err != nil {
+			t.Fatal(err)
+		}
+		conns = append(conns, conn)
+	}
+	if len(c.conns) != 32 || c.fds.calls != calls {
+		t.Errorf("%d clients beside %d calls", len(c.conns), c.fds.calls)
+	}
+	soon, stop := context.WithTimeout(t.Context(), time.Millisecond)
+	defer stop()
+	if err := x.waitDescriptor(soon); err != errNoDescriptor {
+		t.Errorf("one call too many: %v", err)
+	}
+	if !x.put(1, conns[0]) {
+		t.Fatal("not kept")
+	}
+	if err := x.waitDescriptor(t.Context()); err != nil || x.kept() != 0 {
+		t.Errorf("in place of an idle one: %v", err)
+	}
+	c.endCall()
+	for _, conn := range conns[1:] {
+		conn.Close()
+		conn.Close()
+	}
+	if c.fds.calls != 0 {
+		t.Errorf("%d counted, none is open", c.fds.calls)
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -120,24 +120,32 @@
 	if set.Senders >= discovery.SpreadFrom { // with pauses between its calls for the list
 		set.ListAge = micros(discovery.ListAge) + set.DrainGrace
 	}
+	sockets := descriptorLimit(cfg.Limits.Sockets)
+	if cfg.Limits.Sockets > sockets {
+		cfg.Limits.Sockets = sockets
+	}
+	events, orders, operators := make(chan any, eventRoom), make(chan order), 0
+	var d *door
+	if cfg.Operator != "" {
+		d = newDoor(log, sockets, orders)
+		operators = d.most
+	}
+	clients := newClients(cfg, log, events)
+	if calls := clients.shareDescriptors(sockets, operators); set.Slots > calls {
+		log.Warn("configuration", "err", fmt.Sprintf("%d slots do not go with %d descriptors, taken for %d", set.Slots, sockets, calls))
+		set.Slots = calls
+	}
 	sender, err := logic.New(*set, cfg.Seed)
 	if err != nil {
 		return nil, err
 	}
-	sockets := cfg.Limits.Sockets
-	if sockets <= 0 {
-		sockets = 1024
-	}
-	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, heirs: make(chan heir), moves: make(chan struct{}, 1), writes: make(chan leave), dir: discovery.NewDirectory(cfg.Deploy.Zones, set.Kinds),
+	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, clients: clients, door: d, heirs: make(chan heir), moves: make(chan struct{}, 1), writes: make(chan leave), dir: discovery.NewDirectory(cfg.Deploy.Zones, set.Kinds),
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
-		events: make(chan any, eventRoom), orders: make(chan order), ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
+		events: events, orders: orders, ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
 	n.saved = discovery.OpenStore(cfg.StateDir, cfg.Limits.storeBytes(), log)
 	n.disc = n.discoveryClient()
 	n.notices = newNotices(cfg.Discovery, log, n.events)
-	n.clients = newClients(cfg, log, n.events)
-	if cfg.Operator != "" {
-		n.door = newDoor(log, sockets, n.orders)
-	}
+	n.caller.fds = clients
 	if err := n.own(); err != nil && !errors.Is(err, errLocked) {
 		return nil, err
 	}
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -57,11 +57,16 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return startText(t, p, dir, configText(p, known), listen, exec.Command(path))
+}
+
+// startText starts it with a configuration of the test's own, by a command that becomes the program.
+func startText(t *testing.T, p *platform, dir string, text []byte, listen string, cmd *exec.Cmd) *process {
+	t.Helper()
 	config := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(config, configText(p, known), 0o600); err != nil {
+	if err := os.WriteFile(config, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(path)
 	cmd.Env = append(os.Environ(), "BALANCER_NAME=n0", "BALANCER_LISTEN="+listen, "BALANCER_OPERATOR=127.0.0.1:0",
 		"BALANCER_DISCOVERY="+strings.TrimPrefix(p.srv.URL, "http://"), "BALANCER_STATE="+dir, "BALANCER_CONFIG="+config)
 	logs, err := cmd.StderrPipe()
