--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -174,13 +174,11 @@
 		if reachable(in.HostPort) {
 			r.addr = in.HostPort
 		}
-		if was := r.told; d.count(id, r) {
-			rows = append(rows, d.entry(id, r))
-		} else if was {
-			row := d.entry(id, r)
+		row := d.entry(id, r)
+		if !d.count(id, r) { // also where it was not told here: a process before may have
 			row.State = logic.Gone
-			rows = append(rows, row)
 		}
+		rows = append(rows, row)
 		if len(d.spare[left]) > 0 {
 			short = append(short, left)
 		}
@@ -444,10 +442,12 @@
 		return
 	}
 	r := d.add(name, id)
-	if t.Addr != "" {
-		r.addr, r.dest = t.Addr, t.Dest
-		r.zone, r.kind = d.zones.at(t.Zone), d.kinds.at(t.Kind)
+	if t.Addr == "" { // it can't be listed
+		d.set(id, r, unlisted, time.Now())
+		return
 	}
+	r.addr, r.dest = t.Addr, t.Dest
+	r.zone, r.kind = d.zones.at(t.Zone), d.kinds.at(t.Kind)
 	if t.Lifecycle == "" {
 		r.told = true
 		d.set(id, r, doubtful, time.Time{})
--- a/internal/discovery/store_test.go
+++ b/internal/discovery/store_test.go
@@ -10,12 +10,15 @@
 	"iter"
 	"log/slog"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"runtime"
 	"slices"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -26,18 +29,18 @@
 
 var quiet = slog.New(slog.DiscardHandler)
 
-// row is an entry as discovery tells it of the destinations of a fleet.
-func row(i int) Instance {
+// sample is an entry as discovery tells it of the destinations of a fleet.
+func sample(i int) Instance {
 	h := uint32(i) * 0x9e3779b1 // addresses are in no order
 	return Instance{ID: fmt.Sprintf("s-%06d", i), HostPort: fmt.Sprintf("10.%d.%d.%d:%d", h>>24, h>>16&255, h>>8&255, 6379+h&7),
 		Zone: fmt.Sprintf("zone-%d", i*7%6), Kind: []string{"small", "large"}[i*13%2], Dest: int64(i / 2), Lifecycle: "up",
 		Weight: 1 + float64(i*31%4)/4}
 }
 
-func rows(from, to int) []Instance {
+func samples(from, to int) []Instance {
 	var all []Instance
 	for i := from; i < to; i++ {
-		all = append(all, row(i))
+		all = append(all, sample(i))
 	}
 	return all
 }
@@ -162,10 +165,15 @@
 func folder(t *testing.T, text []byte) string {
 	t.Helper()
 	dir := t.TempDir()
+	put(t, dir, text)
+	return dir
+}
+
+func put(t testing.TB, dir string, text []byte) {
+	t.Helper()
 	if err := os.WriteFile(filepath.Join(dir, storeName), text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	return dir
 }
 
 // noNew fails if a rewrite has left its file.
@@ -182,16 +190,16 @@
 		t.Fatalf("an empty folder: %v", err)
 	}
 	s := OpenStore(dir, plenty, quiet)
-	if err := s.Append(1, rows(0, 1)); !errors.Is(err, errLacks) {
+	if err := s.Append(1, samples(0, 1)); !errors.Is(err, errLacks) {
 		t.Fatalf("an update of nothing: %v", err)
 	}
 	odd := Instance{ID: "ü \"quoted\" \x00 \u2028", HostPort: "[::1]:1", Dest: -1 << 62, Lifecycle: "odd", Weight: 1e-300}
-	whole := append(rows(0, 1500), odd)
+	whole := append(samples(0, 1500), odd)
 	mustReplace(t, s, -7, whole)
 	want := tableOf(whole)
 	mustHold(t, dir, "o:1", -7, want)
 	// Updates of several sizes, one of them of nothing, one of a record that is compressed.
-	for generation, update := range [][]Instance{{removed(row(0))}, {}, {row(2000), removed(row(1)), odd}, rows(3000, 3700)} {
+	for generation, update := range [][]Instance{{removed(sample(0))}, {}, {sample(2000), removed(sample(1)), odd}, samples(3000, 3700)} {
 		mustUpdate(t, s, int64(generation), update...)
 		want.apply(update)
 		mustHold(t, dir, "o:1", int64(generation), want)
@@ -201,69 +209,77 @@
 	if saved, err := s.Peek(); err != nil || saved != (Saved{"o:1", 3, 1501 + 1 + 3 + 700}) {
 		t.Fatalf("%+v, %v", saved, err)
 	}
-	if err := s.Append(9, rows(7, 8)); !errors.Is(err, errLacks) {
+	if err := s.Append(9, samples(7, 8)); !errors.Is(err, errLacks) {
 		t.Fatalf("an update of what was not loaded: %v", err)
 	}
 	s = reopen(t, dir)
-	mustUpdate(t, s, 9, row(7))
-	want.apply(rows(7, 8))
+	mustUpdate(t, s, 9, sample(7))
+	want.apply(samples(7, 8))
 	mustHold(t, dir, "o:1", 9, want)
 	// A whole list from elsewhere, with no entry at all.
 	if err := s.Replace("o:2", 2, slices.Values([]Instance(nil))); err != nil {
 		t.Fatal(err)
 	}
 	mustHold(t, dir, "o:2", 2, table{})
-	mustUpdate(t, s, 3, row(5))
-	mustHold(t, dir, "o:2", 3, tableOf(rows(5, 6)))
+	mustUpdate(t, s, 3, sample(5))
+	mustHold(t, dir, "o:2", 3, tableOf(samples(5, 6)))
 	noNew(t, dir)
 }
 
 func TestStoreRefusesGenerationThatDoesNotRise(t *testing.T) {
 	dir := t.TempDir()
 	s := OpenStore(dir, plenty, quiet)
-	mustReplace(t, s, 5, rows(0, 3))
+	mustReplace(t, s, 5, samples(0, 3))
 	for _, generation := range []int64{5, 4, -1} {
 		if err := s.Append(generation, nil); !errors.Is(err, errNotNewer) {
 			t.Fatalf("generation %d: %v", generation, err)
 		}
 	}
-	mustUpdate(t, s, 6, row(3)) // nothing was lost with those
+	mustUpdate(t, s, 6, sample(3)) // nothing was lost with those
 	// Rows that were refused are lacking: what comes later must not make it look as if they had not been told.
-	if err := s.Append(6, rows(4, 5)); !errors.Is(err, errNotNewer) {
+	if err := s.Append(6, samples(4, 5)); !errors.Is(err, errNotNewer) {
 		t.Fatal(err)
 	}
-	if err := s.Append(7, rows(5, 6)); !errors.Is(err, errLacks) || !s.Stale() {
+	if err := s.Append(7, samples(5, 6)); !errors.Is(err, errLacks) || !s.Stale() {
 		t.Fatalf("behind a gap: %v, stale %v", err, s.Stale())
 	}
-	mustHold(t, dir, "o:1", 6, tableOf(rows(0, 4)))
-	mustReplace(t, s, 7, rows(0, 6))
-	mustUpdate(t, s, 8, row(6))
-	mustHold(t, dir, "o:1", 8, tableOf(rows(0, 7)))
+	mustHold(t, dir, "o:1", 6, tableOf(samples(0, 4)))
+	// Nor does it help to read the list again: whoever tells of updates is further on.
+	if _, err := s.Load(func([]Instance) error { return nil }); err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Append(8, samples(6, 7)); !errors.Is(err, errLacks) {
+		t.Fatalf("behind a gap: %v", err)
+	}
+	mustReplace(t, s, 7, samples(0, 6))
+	mustUpdate(t, s, 8, sample(6))
+	mustHold(t, dir, "o:1", 8, tableOf(samples(0, 7)))
 }
 
 // small is a small list with two updates: its bytes, where the snapshot and each update end, and what the list is there.
 func small(t *testing.T) (text []byte, ends []int, lists []table) {
 	dir := t.TempDir()
 	s := OpenStore(dir, plenty, quiet)
-	mustReplace(t, s, 10, rows(0, 3))
+	mustReplace(t, s, 10, samples(0, 3))
 	note := func(l table) {
 		ends = append(ends, len(readList(t, dir)))
 		lists = append(lists, l)
 	}
-	note(tableOf(rows(0, 3)))
-	mustUpdate(t, s, 11, removed(row(1)), row(8))
-	note(tableOf(rows(0, 3), []Instance{removed(row(1)), row(8)}))
-	more := rows(20, 60) // compressed
+	note(tableOf(samples(0, 3)))
+	mustUpdate(t, s, 11, removed(sample(1)), sample(8))
+	note(tableOf(samples(0, 3), []Instance{removed(sample(1)), sample(8)}))
+	more := samples(20, 60) // compressed
 	mustUpdate(t, s, 12, more...)
-	note(tableOf(rows(0, 3), []Instance{removed(row(1)), row(8)}, more))
+	note(tableOf(samples(0, 3), []Instance{removed(sample(1)), sample(8)}, more))
 	return readList(t, dir), ends, lists
 }
 
 // A process can die within a write, and a file can be cut: what is left is refused or a list that was one.
 func TestStoreCutAtEveryByte(t *testing.T) {
 	text, ends, lists := small(t)
+	dir := t.TempDir()
 	for at := range len(text) + 1 {
-		dir := folder(t, text[:at])
+		put(t, dir, text[:at])
 		saved, got, err := load(dir)
 		if at < ends[0] {
 			if err == nil || errors.Is(err, fs.ErrNotExist) || len(got) > 0 {
@@ -279,20 +295,22 @@
 			t.Fatalf("cut at %d: %+v, %d entries, %v", at, saved, len(got), err)
 		}
 		// What is appended then follows the last whole update.
-		mustUpdate(t, reopen(t, dir), 50, row(9))
+		mustUpdate(t, reopen(t, dir), 50, sample(9))
 		want := maps.Clone(lists[n])
-		want.apply(rows(9, 10))
+		want.apply(samples(9, 10))
 		mustHold(t, dir, "o:1", 50, want)
 	}
 }
 
 func TestStoreFlippedAtEveryByte(t *testing.T) {
 	text, ends, lists := small(t)
+	dir := t.TempDir()
 	for at := range text {
 		for _, flip := range []byte{1, 0x20, 0x80, 0xff} {
 			bad := bytes.Clone(text)
 			bad[at] ^= flip
-			saved, got, err := load(folder(t, bad))
+			put(t, dir, bad)
+			saved, got, err := load(dir)
 			if at < ends[0] {
 				if err == nil || len(got) > 0 {
 					t.Fatalf("flipped at %d, within the snapshot: %v, %d entries", at, err, len(got))
@@ -328,7 +346,7 @@
 		return string(wal.Append(nil, body))
 	}
 	head := record(kindHeader, `{"form":1,"origin":"o:1","generation":4}`)
-	three := chunk(3, rows(0, 3))
+	three := chunk(3, samples(0, 3))
 	last := record(kindEnd, `{"count":3,"generation":4}`)
 	if saved, _, err := load(folder(t, []byte(head+three+last))); err != nil || saved != (Saved{"o:1", 4, 3}) {
 		t.Fatalf("the good one: %+v, %v", saved, err)
@@ -349,7 +367,7 @@
 		{"update before the end", head + three + record(kindUpdate, "\x05\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00\x00[]") + last, errBad},
 		{"kind", head + three + record(99, "") + last, errBad},
 		{"short chunk", head + record(kindChunk, "abc") + last, errBad},
-		{"chunk of fewer rows", head + chunk(3, rows(0, 2)) + last, errCount},
+		{"chunk of fewer rows", head + chunk(3, samples(0, 2)) + last, errCount},
 		{"chunk that is not compressed", head + record(kindChunk, "\x03\x00\x00\x00[]") + last, errBad},
 		{"another file", "a text that someone has put here, for whatever reason", errBad},
 	} {
@@ -365,8 +383,8 @@
 		if err := s.Append(9, nil); !errors.Is(err, errLacks) || !s.Stale() {
 			t.Errorf("%s: an update got %v, stale %v", test.how, err, s.Stale())
 		}
-		mustReplace(t, s, 5, rows(0, 1))
-		mustHold(t, dir, "o:1", 5, tableOf(rows(0, 1)))
+		mustReplace(t, s, 5, samples(0, 1))
+		mustHold(t, dir, "o:1", 5, tableOf(samples(0, 1)))
 	}
 
 	// Bad updates are cut off, whole ones stand.
@@ -390,17 +408,17 @@
 		if got := string(readList(t, dir)); got != head+three+last+five {
 			t.Errorf("%s: the file is %q", how, got)
 		}
-		mustUpdate(t, s, 7, row(3))
-		mustHold(t, dir, "o:1", 7, tableOf(rows(0, 4)))
+		mustUpdate(t, s, 7, sample(3))
+		mustHold(t, dir, "o:1", 7, tableOf(samples(0, 4)))
 	}
 }
 
 // A list that is older than one that is known otherwise must not be used, nor gone on with.
 func TestStoreLoadSince(t *testing.T) {
 	dir := t.TempDir()
-	mustReplace(t, OpenStore(dir, plenty, quiet), 4, rows(0, 3))
+	mustReplace(t, OpenStore(dir, plenty, quiet), 4, samples(0, 3))
 	s := reopen(t, dir)
-	mustUpdate(t, s, 6, row(3))
+	mustUpdate(t, s, 6, sample(3))
 	for _, generation := range []int64{-1, 4, 6} {
 		if saved, err := s.LoadSince(generation, func([]Instance) error { return nil }); err != nil || saved.Generation != 6 {
 			t.Fatalf("asked for %d: %+v, %v", generation, saved, err)
@@ -409,17 +427,17 @@
 	if _, err := s.LoadSince(7, func([]Instance) error { t.Error("a row was handed out"); return nil }); !errors.Is(err, errOld) {
 		t.Fatal(err)
 	}
-	if err := s.Append(8, rows(9, 10)); !errors.Is(err, errLacks) || !s.Stale() {
+	if err := s.Append(8, samples(9, 10)); !errors.Is(err, errLacks) || !s.Stale() {
 		t.Fatalf("%v, stale %v", err, s.Stale())
 	}
-	mustHold(t, dir, "o:1", 6, tableOf(rows(0, 4)))
+	mustHold(t, dir, "o:1", 6, tableOf(samples(0, 4)))
 }
 
 // Whoever can't take the rows goes on without them; what is appended then would stand behind a gap.
 func TestStoreLoadNotTaken(t *testing.T) {
 	dir := t.TempDir()
 	s := OpenStore(dir, plenty, quiet)
-	mustReplace(t, s, 4, rows(0, 3))
+	mustReplace(t, s, 4, samples(0, 3))
 	full := errors.New("table full")
 	if _, err := s.Load(func([]Instance) error { return full }); err != full {
 		t.Fatal(err)
@@ -433,8 +451,8 @@
 func TestStoreDeathWhileRewriting(t *testing.T) {
 	dir := t.TempDir()
 	s := OpenStore(dir, plenty, quiet)
-	mustReplace(t, s, 1, rows(0, 30))
-	mustUpdate(t, s, 2, row(30))
+	mustReplace(t, s, 1, samples(0, 30))
+	mustUpdate(t, s, 2, sample(30))
 	deaths := 0
 	died := func() { // a copy of the folder is what the next process finds
 		deaths++
@@ -442,7 +460,7 @@
 		if err := os.CopyFS(next, os.DirFS(dir)); err != nil {
 			t.Fatal(err)
 		}
-		mustHold(t, next, "o:1", 2, tableOf(rows(0, 31)))
+		mustHold(t, next, "o:1", 2, tableOf(samples(0, 31)))
 		noNew(t, next)
 	}
 	err := s.Replace("o:1", 3, func(yield func(Instance) bool) {
@@ -450,7 +468,7 @@
 			if i%200 == 0 {
 				died()
 			}
-			if !yield(row(i)) {
+			if !yield(sample(i)) {
 				return
 			}
 		}
@@ -460,15 +478,15 @@
 	}
 	// And with the second file whole, but not renamed.
 	other := t.TempDir()
-	mustReplace(t, OpenStore(other, plenty, quiet), 3, rows(0, 1200))
+	mustReplace(t, OpenStore(other, plenty, quiet), 3, samples(0, 1200))
 	next := folder(t, nil)
-	mustReplace(t, OpenStore(next, plenty, quiet), 2, rows(0, 31))
+	mustReplace(t, OpenStore(next, plenty, quiet), 2, samples(0, 31))
 	if err := os.WriteFile(filepath.Join(next, storeName+storeNewExt), readList(t, other), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	mustHold(t, next, "o:1", 2, tableOf(rows(0, 31)))
+	mustHold(t, next, "o:1", 2, tableOf(samples(0, 31)))
 	noNew(t, next)
-	mustHold(t, dir, "o:1", 3, tableOf(rows(0, 1200)))
+	mustHold(t, dir, "o:1", 3, tableOf(samples(0, 1200)))
 	if deaths != 6 {
 		t.Errorf("looked at %d deaths", deaths)
 	}
@@ -479,7 +497,7 @@
 func TestStoreBudget(t *testing.T) {
 	const n = 1100
 	dir := t.TempDir()
-	mustReplace(t, OpenStore(dir, plenty, quiet), 1, rows(0, n))
+	mustReplace(t, OpenStore(dir, plenty, quiet), 1, samples(0, n))
 	length := use(t, dir)
 	kept, rewritten := 0, 0
 	for budget := int64(512); budget < 4*length; budget += 1024 {
@@ -497,16 +515,16 @@
 			}
 			noNew(t, dir)
 		}
-		want.apply(rows(0, n))
+		want.apply(samples(0, n))
 		lists[1] = maps.Clone(want)
-		err := s.Replace("o:1", 1, watched(t, dir, budget, rows(0, n)))
+		err := s.Replace("o:1", 1, watched(t, dir, budget, samples(0, n)))
 		check("first", err)
 		if fits := length <= budget; fits != (err == nil) {
 			t.Fatalf("budget %d of %d: %v", budget, length, err)
 		}
 		rewrites := 0
 		for generation := int64(2); generation < 70; generation++ {
-			update := rows(int(generation)*8, int(generation)*8+8)
+			update := samples(int(generation)*8, int(generation)*8+8)
 			for i := range update {
 				update[i].Weight = float64(generation)
 			}
@@ -550,10 +568,10 @@
 	if _, err := s.Load(nil); !errors.Is(err, fs.ErrNotExist) {
 		t.Error(err)
 	}
-	if err := s.Replace("o:1", 1, slices.Values(rows(0, 3))); err != nil {
+	if err := s.Replace("o:1", 1, slices.Values(samples(0, 3))); err != nil {
 		t.Error(err)
 	}
-	if err := s.Append(2, rows(0, 3)); err != nil {
+	if err := s.Append(2, samples(0, 3)); err != nil {
 		t.Error(err)
 	}
 	if s.Stale() {
@@ -567,7 +585,7 @@
 // A budget that has become smaller than what is there holds from the first use on.
 func TestStoreSmallerBudget(t *testing.T) {
 	dir := t.TempDir()
-	mustReplace(t, OpenStore(dir, plenty, quiet), 1, rows(0, 600))
+	mustReplace(t, OpenStore(dir, plenty, quiet), 1, samples(0, 600))
 	length := use(t, dir)
 	s := OpenStore(dir, length, quiet)
 	if saved, err := s.Peek(); err != nil || saved.Count != 600 {
@@ -583,63 +601,68 @@
 func TestStoreRewriteFails(t *testing.T) {
 	dir := t.TempDir()
 	s := OpenStore(dir, plenty, quiet)
-	mustReplace(t, s, 1, rows(0, 3))
+	mustReplace(t, s, 1, samples(0, 3))
 	path := filepath.Join(dir, storeName+storeNewExt)
-	huge := row(1)
+	huge := sample(1)
 	huge.ID = strings.Repeat("long", mostRows/4)
-	if err := s.Replace("o:1", 2, slices.Values([]Instance{row(0), huge})); !errors.Is(err, errTooLarge) {
+	if err := s.Replace("o:1", 2, slices.Values([]Instance{sample(0), huge})); !errors.Is(err, errTooLarge) {
 		t.Fatal(err)
 	}
 	noNew(t, dir)
 	if err := os.Mkdir(path, 0o700); err != nil { // no file can be there
 		t.Fatal(err)
 	}
-	if err := s.Replace("o:1", 2, slices.Values(rows(0, 5))); err == nil {
+	if err := s.Replace("o:1", 2, slices.Values(samples(0, 5))); err == nil {
 		t.Fatal("no error")
 	}
-	mustHold(t, dir, "o:1", 1, tableOf(rows(0, 3)))
-	if err := s.Append(3, rows(5, 6)); !errors.Is(err, errLacks) || !s.Stale() {
+	mustHold(t, dir, "o:1", 1, tableOf(samples(0, 3)))
+	if err := s.Append(3, samples(5, 6)); !errors.Is(err, errLacks) || !s.Stale() {
 		t.Fatalf("%v, stale %v", err, s.Stale())
 	}
-	mustReplace(t, s, 3, rows(0, 6))
-	mustUpdate(t, s, 4, row(6))
-	mustHold(t, dir, "o:1", 4, tableOf(rows(0, 7)))
+	mustReplace(t, s, 3, samples(0, 6))
+	mustUpdate(t, s, 4, sample(6))
+	mustHold(t, dir, "o:1", 4, tableOf(samples(0, 7)))
 }
 
 // A rewrite that fails at the generation that is saved costs nothing: the updates go on.
 func TestStoreGoesOnWithoutRewrite(t *testing.T) {
 	dir := t.TempDir()
-	mustReplace(t, OpenStore(dir, plenty, quiet), 1, rows(0, 600))
+	mustReplace(t, OpenStore(dir, plenty, quiet), 1, samples(0, 600))
 	s := OpenStore(dir, use(t, dir)+4096, quiet)
 	if _, err := s.Load(func([]Instance) error { return nil }); err != nil {
 		t.Fatal(err)
 	}
-	mustUpdate(t, s, 2, row(600))
-	if err := s.Replace("o:1", 2, slices.Values(rows(0, 601))); !errors.Is(err, errNoRoom) || s.Stale() {
+	mustUpdate(t, s, 2, sample(600))
+	if err := s.Replace("o:1", 2, slices.Values(samples(0, 601))); !errors.Is(err, errNoRoom) || s.Stale() {
 		t.Fatalf("%v, stale %v", err, s.Stale())
 	}
-	mustUpdate(t, s, 3, row(601))
-	mustHold(t, dir, "o:1", 3, tableOf(rows(0, 602)))
+	mustUpdate(t, s, 3, sample(601))
+	mustHold(t, dir, "o:1", 3, tableOf(samples(0, 602)))
 }
 
 // Where an origin counts anew, its old generations name other lists: the old copy must not stand, even if the new one
 // can't be written.
 func TestStoreCountsAnew(t *testing.T) {
 	dir := t.TempDir()
-	mustReplace(t, OpenStore(dir, plenty, quiet), 100, rows(0, 3))
+	mustReplace(t, OpenStore(dir, plenty, quiet), 100, samples(0, 3))
 	s := OpenStore(dir, 4096, quiet)
-	if err := s.Replace("o:1", 5, slices.Values(rows(0, 5000))); !errors.Is(err, errNoRoom) {
+	if err := s.Replace("o:1", 5, slices.Values(samples(0, 5000))); !errors.Is(err, errNoRoom) {
 		t.Fatal(err)
 	}
 	if _, _, err := load(dir); !errors.Is(err, fs.ErrNotExist) {
 		t.Fatal(err)
 	}
+	// One that is written is gone on with.
+	mustReplace(t, s, 100, samples(0, 3))
+	mustReplace(t, s, 5, samples(0, 4))
+	mustUpdate(t, s, 6, sample(4))
+	mustHold(t, dir, "o:1", 6, tableOf(samples(0, 5)))
 	// That of another origin says so, and stays.
-	mustReplace(t, s, 100, rows(0, 3))
-	if err := s.Replace("o:2", 5, slices.Values(rows(0, 5000))); !errors.Is(err, errNoRoom) {
+	mustReplace(t, s, 100, samples(0, 3))
+	if err := s.Replace("o:2", 5, slices.Values(samples(0, 5000))); !errors.Is(err, errNoRoom) {
 		t.Fatal(err)
 	}
-	mustHold(t, dir, "o:1", 100, tableOf(rows(0, 3)))
+	mustHold(t, dir, "o:1", 100, tableOf(samples(0, 3)))
 	if err := s.Append(101, nil); !errors.Is(err, errLacks) {
 		t.Fatal(err)
 	}
@@ -649,40 +672,41 @@
 func TestStoreChangedBeneath(t *testing.T) {
 	dir := t.TempDir()
 	s := OpenStore(dir, plenty, quiet)
-	mustReplace(t, s, 1, rows(0, 3))
-	mustUpdate(t, reopen(t, dir), 2, row(3))
-	if err := s.Append(2, rows(4, 5)); err == nil || !s.Stale() {
+	mustReplace(t, s, 1, samples(0, 3))
+	mustUpdate(t, reopen(t, dir), 2, sample(3))
+	if err := s.Append(2, samples(4, 5)); err == nil || !s.Stale() {
 		t.Fatalf("%v, stale %v", err, s.Stale())
 	}
-	mustHold(t, dir, "o:1", 2, tableOf(rows(0, 4)))
+	mustHold(t, dir, "o:1", 2, tableOf(samples(0, 4)))
 }
 
 func TestStoreStaleAndRewrite(t *testing.T) {
 	dir := t.TempDir()
 	s := OpenStore(dir, plenty, quiet)
-	mustReplace(t, s, 1, rows(0, 3000))
+	mustReplace(t, s, 1, samples(0, 3000))
 	snapshot := len(readList(t, dir))
 	if snapshot/2 <= staleLeast {
 		t.Fatalf("the snapshot of %d bytes is too small for this test", snapshot)
 	}
 	generation := int64(1)
 	for ; !s.Stale(); generation++ {
-		mustUpdate(t, s, generation+1, row(int(generation)))
+		mustUpdate(t, s, generation+1, sample(int(generation)))
 	}
 	if updates := len(readList(t, dir)) - snapshot; updates <= snapshot/2 || updates > snapshot/2+512 {
 		t.Errorf("stale with %d bytes of updates after %d", updates, snapshot)
 	}
-	mustReplace(t, s, generation, rows(0, 3000))
+	mustReplace(t, s, generation, samples(0, 3000))
 	if s.Stale() || len(readList(t, dir)) > snapshot+8 { // the generation has more digits
 		t.Errorf("stale %v, %d bytes", s.Stale(), len(readList(t, dir)))
 	}
 	// A small list is not rewritten for each update.
-	mustReplace(t, s, 1, rows(0, 1))
-	for generation = 1; !s.Stale(); generation++ {
-		mustUpdate(t, s, generation+1, row(0))
+	mustReplace(t, s, 10_000, samples(0, 1))
+	updates := 0
+	for ; !s.Stale(); updates++ {
+		mustUpdate(t, s, int64(10_001+updates), sample(0))
 	}
-	if generation < 40 {
-		t.Errorf("stale after %d updates", generation-1)
+	if updates < 40 {
+		t.Errorf("stale after %d updates", updates)
 	}
 }
 
@@ -690,11 +714,11 @@
 func TestStoreHugeUpdate(t *testing.T) {
 	dir := t.TempDir()
 	s := OpenStore(dir, plenty, quiet)
-	mustReplace(t, s, 1, rows(0, 3))
-	if err := s.Append(2, rows(0, 60_000)); !errors.Is(err, errTooLarge) || !s.Stale() {
+	mustReplace(t, s, 1, samples(0, 3))
+	if err := s.Append(2, samples(0, 60_000)); !errors.Is(err, errTooLarge) || !s.Stale() {
 		t.Fatalf("%v, stale %v", err, s.Stale())
 	}
-	mustHold(t, dir, "o:1", 1, tableOf(rows(0, 3)))
+	mustHold(t, dir, "o:1", 1, tableOf(samples(0, 3)))
 }
 
 // Whatever happens in whatever order, what is loaded is what the list was at the generation it names.
@@ -724,7 +748,7 @@
 			case action < 11: // an update
 				update := make([]Instance, rng.IntN(6))
 				for i := range update {
-					update[i] = row(rng.IntN(300))
+					update[i] = sample(rng.IntN(300))
 					update[i].Weight = float64(rng.IntN(1000))
 					if rng.IntN(3) == 0 {
 						update[i].Lifecycle = "removed"
@@ -749,7 +773,7 @@
 						history[origin] = nil
 					}
 					for i := range rng.IntN(400) {
-						now.apply([]Instance{row(i)})
+						now.apply([]Instance{sample(i)})
 					}
 					note()
 				}
@@ -762,17 +786,13 @@
 			case action < 17: // a torn end, found by the next process
 				if text, err := os.ReadFile(filepath.Join(dir, storeName)); err == nil && len(text) > 0 {
 					text = text[:len(text)-rng.IntN(min(len(text), 200))]
-					if err := os.WriteFile(filepath.Join(dir, storeName), text, 0o600); err != nil {
-						t.Fatal(err)
-					}
+					put(t, dir, text)
 					s = OpenStore(dir, budget, quiet)
 				}
 			case action < 18: // a bit that flips
 				if text, err := os.ReadFile(filepath.Join(dir, storeName)); err == nil && len(text) > 0 {
 					text[rng.IntN(len(text))] ^= 1 << rng.IntN(8)
-					if err := os.WriteFile(filepath.Join(dir, storeName), text, 0o600); err != nil {
-						t.Fatal(err)
-					}
+					put(t, dir, text)
 					s = OpenStore(dir, budget, quiet)
 				}
 			default:
@@ -808,6 +828,115 @@
 	}
 }
 
+// Whatever the file holds, it is refused or it is a list, and the next process reads the same one.
+func FuzzStoreLoad(f *testing.F) {
+	dir := f.TempDir()
+	s := OpenStore(dir, plenty, quiet)
+	if err := s.Replace("o:1", 10, slices.Values(samples(0, 3))); err != nil {
+		f.Fatal(err)
+	}
+	for generation, update := range [][]Instance{{removed(sample(1)), sample(8)}, samples(20, 60)} {
+		if err := s.Append(int64(11+generation), update); err != nil {
+			f.Fatal(err)
+		}
+	}
+	text, err := os.ReadFile(filepath.Join(dir, storeName))
+	if err != nil {
+		f.Fatal(err)
+	}
+	// The sums are set right, so that what is behind them is reached.
+	f.Add(text)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		for rest := text; len(rest) > wal.HeaderLen; {
+			n := int(binary.LittleEndian.Uint32(rest))
+			if n == 0 || n > len(rest)-wal.HeaderLen {
+				break
+			}
+			copy(rest, wal.Append(nil, rest[wal.HeaderLen:wal.HeaderLen+n]))
+			rest = rest[wal.HeaderLen+n:]
+		}
+		dir := t.TempDir()
+		put(t, dir, text)
+		first, one, err := load(dir)
+		if err != nil {
+			if _, err := os.Stat(filepath.Join(dir, storeName)); err != nil {
+				t.Fatal(err)
+			}
+			return
+		}
+		again, two, err := load(dir)
+		if err != nil || again != first || !maps.EqualFunc(one, two, func(a, b Instance) bool { return fmt.Sprint(a) == fmt.Sprint(b) }) {
+			t.Fatalf("first %+v, then %+v, %v", first, again, err)
+		}
+		if s := reopen(t, dir); first.Generation < math.MaxInt64 {
+			mustUpdate(t, s, math.MaxInt64)
+		}
+	})
+}
+
+// Updates and rewrites come in order, from two goroutines, while a third reads.
+func TestStoreConcurrent(t *testing.T) {
+	const most = 100
+	dir := t.TempDir()
+	s := OpenStore(dir, plenty, quiet)
+	at := func(generation int64) []Instance { return samples(0, 600+int(generation)) } // one more each time
+	mustReplace(t, s, 0, at(0))
+	var order sync.Mutex
+	var last atomic.Int64 // generation that is told
+	done := make(chan error, 3)
+	go func() {
+		defer last.Store(most)
+		for generation := int64(1); generation <= most; generation++ {
+			order.Lock()
+			err := s.Append(generation, at(generation)[599+generation:])
+			last.Store(generation)
+			order.Unlock()
+			if err != nil {
+				done <- err
+				return
+			}
+		}
+		done <- nil
+	}()
+	go func() {
+		for last.Load() < most {
+			order.Lock()
+			generation := last.Load()
+			err := s.Replace("o:1", generation, slices.Values(at(generation)))
+			order.Unlock()
+			if err != nil {
+				done <- err
+				return
+			}
+		}
+		done <- nil
+	}()
+	go func() {
+		for last.Load() < most {
+			s.Stale()
+			var got table
+			saved, err := s.Load(func(rows []Instance) error {
+				if got == nil {
+					got = table{}
+				}
+				got.apply(rows)
+				return nil
+			})
+			if want := at(saved.Generation); err != nil || !maps.Equal(got, tableOf(want)) {
+				done <- fmt.Errorf("%+v with %d entries, %v", saved, len(got), err)
+				return
+			}
+		}
+		done <- nil
+	}()
+	for range 3 {
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}
+	mustHold(t, dir, "o:1", most, tableOf(at(most)))
+}
+
 // peak is the most heap in use while f runs, beyond what was in use before.
 func peak(f func(look func())) uint64 {
 	runtime.GC()
@@ -828,7 +957,7 @@
 	const n = 200_000
 	all := func(yield func(Instance) bool) {
 		for i := range n {
-			if !yield(row(i)) {
+			if !yield(sample(i)) {
 				return
 			}
 		}
@@ -858,7 +987,7 @@
 	next := 0
 	if saved, err := s.Load(func(rows []Instance) error {
 		for _, in := range rows {
-			if in != row(next) {
+			if in != sample(next) {
 				return fmt.Errorf("row %d is %+v", next, in)
 			}
 			next++
@@ -910,7 +1039,7 @@
 	for _, n := range []int{1000, 10_000, 100_000, 200_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
 			dir := b.TempDir()
-			if err := OpenStore(dir, plenty, quiet).Replace("o:1", 1, slices.Values(rows(0, n))); err != nil {
+			if err := OpenStore(dir, plenty, quiet).Replace("o:1", 1, slices.Values(samples(0, n))); err != nil {
 				b.Fatal(err)
 			}
 			b.ReportAllocs()
@@ -926,7 +1055,7 @@
 func BenchmarkStoreReplace(b *testing.B) {
 	for _, n := range []int{1000, 10_000, 100_000, 200_000} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			all := rows(0, n)
+			all := samples(0, n)
 			s := OpenStore(b.TempDir(), plenty, quiet)
 			b.ReportAllocs()
 			for b.Loop() {
@@ -944,10 +1073,10 @@
 		for _, k := range []int{1, 100} {
 			b.Run(fmt.Sprint(k, "-to-", n), func(b *testing.B) {
 				s := OpenStore(b.TempDir(), 1<<40, quiet)
-				if err := s.Replace("o:1", 1, slices.Values(rows(0, n))); err != nil {
+				if err := s.Replace("o:1", 1, slices.Values(samples(0, n))); err != nil {
 					b.Fatal(err)
 				}
-				update := rows(0, k)
+				update := samples(0, k)
 				b.ReportAllocs()
 				for generation := int64(2); b.Loop(); generation++ {
 					if err := s.Append(generation, update); err != nil {
