Forget gone endpoints sooner where they outnumber those that are listed

Cause: what is not listed keeps its number for ten minutes. Lists that name all endpoints anew would add their whole length to the memory each time.

Change: while more are gone than listed, and 16384 beyond that, they are kept for 30 s.

--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -12,7 +12,9 @@
 )
 
 const (
-	goneKept  = 10 * time.Minute // what is not listed keeps its number for so long
+	goneKept  = 10 * time.Minute // what is not listed keeps its number for so long ...
+	goneMany  = 16384            // ... unless that is as many as are listed, and so many more ...
+	goneLeast = 30 * time.Second // ... then it is for so long: lists that name all anew would fill the memory
 	pageSize  = 256              // records that are kept together
 	labelMost = 4096             // different zones, or kinds, that are told apart
 	tellMost  = 1024             // endpoints of one destination that the module is told of: it looks at each for each call
@@ -482,8 +484,12 @@
 func (d *Directory) Forget(now time.Time, used func(name string, id logic.EndpointID) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	kept := goneKept
+	if len(d.gone) > d.listed+goneMany {
+		kept = goneLeast
+	}
 	for id, since := range d.gone {
-		if r := d.record(id); now.Sub(since) > goneKept && !used(r.name, id) {
+		if r := d.record(id); now.Sub(since) > kept && !used(r.name, id) {
 			d.drop(id, r)
 		}
 	}
--- a/internal/discovery/directory_test.go
+++ b/internal/discovery/directory_test.go
@@ -125,3 +125,23 @@
 		t.Errorf("each of its own: %d left aside, %d entries, %d destinations", u.Aside, len(d.Entries()), len(d.told))
 	}
 }
+
+// Lists that name all endpoints anew, again and again, do not fill the memory with names that are gone.
+func TestRenamedListsAreForgotten(t *testing.T) {
+	d := NewDirectory(nil, nil)
+	now := time.Now()
+	const listed = 5000
+	for i := range 40 {
+		l := List{Reset: true}
+		for k := range listed {
+			l.Instances = append(l.Instances, Instance{ID: fmt.Sprint(i, ".", k), HostPort: "h:1", Dest: int64(k), Lifecycle: "up"})
+		}
+		u := d.Reduce(l)
+		d.Apply(&u, now)
+		now = now.Add(5 * time.Second)
+		d.Forget(now, func(string, logic.EndpointID) bool { return false })
+		if d.Len() != listed || len(d.ids) > 9*listed || len(d.pages) > len(d.ids)/pageSize+40 {
+			t.Fatalf("list %d: %d listed, %d names, %d pages", i, d.Len(), len(d.ids), len(d.pages))
+		}
+	}
+}
