--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -10,6 +10,7 @@
 	"io"
 	"io/fs"
 	"iter"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -76,6 +77,8 @@
 	Addr       string
 	Zone, Kind int
 	Dest       int64
+	Lifecycle  string  `json:",omitempty"` // as in discovery.Target; empty from an earlier version
+	Weight     float64 `json:",omitempty"`
 }
 
 type transferHeld struct {
@@ -128,10 +131,13 @@
 	b = append(binary.AppendUvarint(b, uint64(len(x.to.Addr))), x.to.Addr...)
 	b = binary.AppendVarint(b, int64(x.to.Zone))
 	b = binary.AppendVarint(b, int64(x.to.Kind))
-	return binary.AppendVarint(b, x.to.Dest)
+	b = binary.AppendVarint(b, x.to.Dest)
+	b = append(binary.AppendUvarint(b, uint64(len(x.to.Lifecycle))), x.to.Lifecycle...)
+	return binary.LittleEndian.AppendUint64(b, math.Float64bits(x.to.Weight))
 }
 
-// readName is the other way round. What follows the fields is a later version's.
+// readName is the other way round. What follows the fields is a later version's; an earlier one's end with the
+// destination.
 func readName(row []byte) (x listedName, err error) {
 	b, bad := row[1:], false
 	number := func() uint64 {
@@ -154,6 +160,12 @@
 	}
 	x.name, x.id = text(), logic.EndpointID(number())
 	x.to = discovery.Target{Addr: text(), Zone: int(signed()), Kind: int(signed()), Dest: signed()}
+	if len(b) > 0 {
+		x.to.Lifecycle = text()
+		if bad = bad || len(b) < 8; !bad {
+			x.to.Weight = math.Float64frombits(binary.LittleEndian.Uint64(b))
+		}
+	}
 	if bad {
 		err = errors.New("a name that makes no sense")
 	}
@@ -369,7 +381,7 @@
 		}
 		for _, id := range p.IDs {
 			if t, ok := n.dir.Target(id); ok {
-				p.Targets[id] = transferTarget{t.Addr, t.Zone, t.Kind, t.Dest}
+				p.Targets[id] = transferTarget{t.Addr, t.Zone, t.Kind, t.Dest, t.Lifecycle, t.Weight}
 			}
 		}
 	}
@@ -751,7 +763,8 @@
 	l.names, l.Module = nil, logic.Saved{}
 	for name, id := range l.IDs {
 		t := l.Targets[id]
-		n.dir.Adopt(name, id, discovery.Target{Addr: t.Addr, Zone: t.Zone, Dest: t.Dest, Kind: t.Kind})
+		n.dir.Adopt(name, id, discovery.Target{Addr: t.Addr, Zone: t.Zone, Dest: t.Dest, Kind: t.Kind,
+			Lifecycle: t.Lifecycle, Weight: t.Weight})
 	}
 	known := int64(-1)
 	if l.Discovery == n.disc.Address() && l.Generation != 0 {
