Handover: a name goes with what the list says of it

Symptom: after a handover the directory took every name's state for doubtful, and its weight for nought, until the list had been told anew. Cause: the rows of names were made before the directory kept both. Change: a row ends with them; the form before has no word for them, as before.

Found by TestTransferForms.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -10,6 +10,8 @@
 	"io"
 	"io/fs"
 	"iter"
+	"math"
+	"math/bits"
 	"net"
 	"net/http"
 	"os"
@@ -128,7 +130,9 @@
 	b = append(binary.AppendUvarint(b, uint64(len(x.to.Addr))), x.to.Addr...)
 	b = binary.AppendVarint(b, int64(x.to.Zone))
 	b = binary.AppendVarint(b, int64(x.to.Kind))
-	return binary.AppendVarint(b, x.to.Dest)
+	b = binary.AppendVarint(b, x.to.Dest)
+	b = append(binary.AppendUvarint(b, uint64(len(x.to.Lifecycle))), x.to.Lifecycle...)
+	return binary.AppendUvarint(b, bits.ReverseBytes64(math.Float64bits(x.to.Weight)))
 }
 
 // readName is the other way round. What follows the fields is a later version's.
@@ -153,7 +157,8 @@
 		return s
 	}
 	x.name, x.id = text(), logic.EndpointID(number())
-	x.to = discovery.Target{Addr: text(), Zone: int(signed()), Kind: int(signed()), Dest: signed()}
+	x.to = discovery.Target{Addr: text(), Zone: int(signed()), Kind: int(signed()), Dest: signed(), Lifecycle: text(),
+		Weight: math.Float64frombits(bits.ReverseBytes64(number()))}
 	if bad {
 		err = errors.New("a name that makes no sense")
 	}
