--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -92,11 +92,12 @@
 	have     bool  // the file holds a whole list
 	refused  error // why it does not
 	saved    Saved
-	snapshot int64 // bytes of the snapshot
-	size     int64 // bytes of the file
-	begun    bool  // something was loaded or replaced since the start
-	follows  bool  // what is told next follows what the file holds; otherwise an update would stand behind a gap
-	torn     bool  // it has a bad end that could not be cut off
+	snapshot int64       // bytes of the snapshot
+	size     int64       // bytes of the file
+	file     os.FileInfo // of the file, as it was when this process read or wrote it as a whole
+	begun    bool        // something was loaded or replaced since the start
+	follows  bool        // what is told next follows what the file holds; otherwise an update would stand behind a gap
+	torn     bool        // it has a bad end that could not be cut off
 }
 
 // OpenStore returns the store in dir. Its files together, each counted in whole 512 bytes, stay within budget bytes at
@@ -152,7 +153,7 @@
 	if err != nil {
 		return fmt.Errorf("saved list: %w", err)
 	}
-	s.size = info.Size()
+	s.size, s.file = info.Size(), info
 	r := wal.NewReader(f, mostBody)
 	if s.saved, err = scanSnapshot(r); err != nil {
 		return err
@@ -554,24 +555,31 @@
 		return err
 	}
 	saved := Saved{Origin: origin, Generation: generation}
-	size, err := s.write(&saved, rows, beside)
+	size, file, err := s.write(&saved, rows, beside)
 	if err == nil {
 		err = os.Rename(s.newPath(), s.path())
 	}
 	if err != nil {
 		return errors.Join(err, remove(s.newPath()))
 	}
-	s.have, s.refused, s.saved, s.size, s.snapshot, s.torn = true, nil, saved, size, size, false
+	s.have, s.refused, s.saved, s.size, s.file, s.snapshot, s.torn = true, nil, saved, size, file, size, false
 	return nil
 }
 
 // write writes a snapshot to the new file, beside an old one of that size, counts its rows, and says how long it is.
-func (s *Store) write(saved *Saved, rows iter.Seq[Instance], beside int64) (size int64, err error) {
+func (s *Store) write(saved *Saved, rows iter.Seq[Instance], beside int64) (size int64, file os.FileInfo, err error) {
 	f, err := os.OpenFile(s.newPath(), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	defer func() { err = errors.Join(err, f.Close()) }()
+	if size, err = s.writeTo(f, saved, rows, beside); err == nil {
+		file, err = f.Stat()
+	}
+	return size, file, err
+}
+
+func (s *Store) writeTo(f *os.File, saved *Saved, rows iter.Seq[Instance], beside int64) (size int64, err error) {
 	e := newEncoder()
 	defer encoders.Put(e)
 	put := func(body []byte) error {
@@ -675,8 +683,8 @@
 	defer f.Close()
 	if info, err := f.Stat(); err != nil {
 		return err
-	} else if info.Size() != s.size {
-		return fmt.Errorf("%d bytes on disk, not %d", info.Size(), s.size)
+	} else if info.Size() != s.size || !os.SameFile(info, s.file) {
+		return fmt.Errorf("another process has written %d bytes where %d were", info.Size(), s.size)
 	}
 	if n, err := f.WriteAt(b, s.size); err != nil {
 		if n > 0 {
--- a/internal/discovery/store_test.go
+++ b/internal/discovery/store_test.go
@@ -686,6 +686,17 @@
 		t.Fatalf("%v, stale %v", err, s.Stale())
 	}
 	mustHold(t, dir, "o:1", 2, tableOf(samples(0, 4)))
+
+	// Another file of the same length is another file.
+	mustReplace(t, s, 3, samples(0, 3))
+	mustReplace(t, reopen(t, dir), 4, samples(0, 3))
+	if err := s.Append(5, samples(4, 5)); err == nil || !s.Stale() {
+		t.Fatalf("%v, stale %v", err, s.Stale())
+	}
+	mustHold(t, dir, "o:1", 4, tableOf(samples(0, 3)))
+	mustReplace(t, s, 5, samples(0, 5))
+	mustUpdate(t, s, 6, sample(5))
+	mustHold(t, dir, "o:1", 6, tableOf(samples(0, 6)))
 }
 
 func TestStoreStaleAndRewrite(t *testing.T) {
