Test when a change counts as told, through three failed calls in every order

The real client and the real module on virtual time, a discovery in memory: refused, reset, silent, no list, 503 and a watch that falls silent, in each of the 216 orders of three, also 6 to 14 answers in a row that are no list; fleets of 1, 8, 20, 30, 300 and 540; none to three good calls before; changes 0.5 s or 5 s apart; graces of 0.3 to 5 s. A change is broken if a message is sent once the change counts as told and the grace is over, and it has not come. Below 8 senders, whose lists have no age, it has to have come.

Ruled out as needed: a watch that fell silent opened anew at once. The module asks within 1 s and the grace of a watch that failed, in time for what counts as told 2 s after its hold, and a fleet's calls stay spread.

--- /dev/null
+++ b/internal/discovery/told_test.go
@@ -0,0 +1,371 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"crossdeal/logic"
+)
+
+// When a change counts as told, whether or not it has arrived.
+const (
+	toldAfter = 6 * time.Second        // discovery had it and could be reached, or a watch fell silent
+	toldWait  = 2 * time.Second        // after the wait of a call that fell silent, if that is later
+	toldSlack = 50 * time.Millisecond  // of every time limit
+	chatEvery = 200 * time.Millisecond // a message comes
+	newsEvery = 500 * time.Millisecond // something changes, where changes come close together
+)
+
+// What can happen to a call for the list. A silent call gets no answer; a quiet watch is one that waits for news and
+// falls silent. The others get an answer that is no list.
+var troubles = []string{"refused", "reset", "silent", "nonsense", "503", "quiet watch"}
+
+var nonsense = []string{"<html>sorry</html>", `{"generation":9,"reset":true,"instances":[{"instanceId":"x","hos`, `{"generation":"six"}`,
+	`{"generation":-1,"reset":false,"instances":[]}`}
+
+// toldWorld is one sender, module and client, with a discovery that does to its first calls what a script says and
+// answers the others at once, on virtual time. Endpoint "alive" stays up and gets a message now and then; endpoint n
+// drains with the n-th change.
+type toldWorld struct {
+	begun   time.Time
+	changes []time.Duration // when each came
+	mu      sync.Mutex
+	good    int // calls that are answered before the script begins
+	script  []string
+	quiet   time.Duration // after which a quiet watch falls silent
+	grace   time.Duration // for which what drains may still be called once that is told
+	asked   int
+	spoilt  []spoilt
+	sends   []time.Duration
+	arrived []time.Duration // each change at the module; 0 if it has not
+}
+
+// spoilt is a call that something happened to.
+type spoilt struct {
+	what   string
+	at     time.Duration // when it began, or fell silent
+	waited time.Duration // when its wait is over
+}
+
+func (w *toldWorld) now() time.Duration { return time.Since(w.begun) }
+
+// spoil says what happens to the next call, and takes it off the script.
+func (w *toldWorld) spoil(refusal bool, hold time.Duration) (what string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.asked < w.good || len(w.script) == 0 || (w.script[0] == "refused") != refusal || w.script[0] == "quiet watch" && hold <= promptHold {
+		if !refusal {
+			w.asked++
+		}
+		return ""
+	}
+	what, w.script = w.script[0], w.script[1:]
+	w.asked++
+	w.spoilt = append(w.spoilt, spoilt{what, w.now(), w.now() + hold})
+	return what
+}
+
+func (w *toldWorld) dial(context.Context, string, string) (net.Conn, error) {
+	if w.spoil(true, 0) != "" {
+		return nil, syscall.ECONNREFUSED
+	}
+	ours, theirs := net.Pipe()
+	go w.serve(theirs)
+	return ours, nil
+}
+
+// serve answers one call.
+func (w *toldWorld) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return
+	}
+	gone := make(chan struct{})
+	go func() { defer close(gone); r.ReadByte() }()
+	from, whole := int64(0), !req.URL.Query().Has("from")
+	if !whole {
+		from, _ = strconv.ParseInt(req.URL.Query().Get("from"), 10, 64)
+	}
+	ms, _ := strconv.Atoi(req.URL.Query().Get("hold_ms"))
+	hold := time.Duration(ms) * time.Millisecond
+	what := w.spoil(false, hold)
+	until := time.After(hold)
+	switch what {
+	case "reset":
+		return
+	case "silent":
+		<-gone
+		return
+	case "503":
+		io.WriteString(conn, "HTTP/1.1 503 x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n")
+		return
+	case "nonsense":
+		w.mu.Lock()
+		text := nonsense[w.asked%len(nonsense)]
+		w.mu.Unlock()
+		fmt.Fprintf(conn, "HTTP/1.1 200 x\r\nConnection: close\r\n\r\n%s", text)
+		return
+	case "quiet watch":
+		until = time.After(w.quiet)
+	}
+	for {
+		count := 0
+		for count < len(w.changes) && w.changes[count] <= w.now() {
+			count++
+		}
+		if whole || count > int(from) {
+			if what != "" { // it has not fallen silent yet
+				w.mu.Lock()
+				w.spoilt, w.script = w.spoilt[:len(w.spoilt)-1], append([]string{what}, w.script...)
+				w.mu.Unlock()
+			}
+			w.answer(conn, int(from), count, whole)
+			return
+		}
+		next := make(<-chan time.Time)
+		if count < len(w.changes) {
+			next = time.After(w.changes[count] - w.now())
+		}
+		select {
+		case <-next:
+		case <-until:
+			if what == "" {
+				w.answer(conn, count, count, false)
+				return
+			}
+			w.mu.Lock()
+			w.spoilt[len(w.spoilt)-1].at = w.now()
+			w.mu.Unlock()
+			<-gone
+			return
+		case <-gone:
+			return
+		}
+	}
+}
+
+func (w *toldWorld) answer(conn net.Conn, from, to int, whole bool) {
+	list := List{Generation: int64(to), Reset: whole, Instances: []Instance{}}
+	if whole {
+		list.Instances = w.list(to)
+	} else {
+		for n := from; n < to; n++ {
+			list.Instances = append(list.Instances, instanceOf(n, "draining"))
+		}
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		panic(err)
+	}
+	fmt.Fprintf(conn, "HTTP/1.1 200 x\r\nConnection: close\r\n\r\n%s", text)
+}
+
+func instanceOf(n int, state string) Instance {
+	return Instance{ID: fmt.Sprint(n), HostPort: "h:1", Kind: "k", Dest: int64(n + 1), Lifecycle: state}
+}
+
+// list is the whole list after so many changes.
+func (w *toldWorld) list(changes int) []Instance {
+	all := []Instance{{ID: "alive", HostPort: "h:1", Kind: "k", Dest: 0, Lifecycle: "up"}}
+	for n := range w.changes {
+		all = append(all, instanceOf(n, map[bool]string{true: "draining", false: "up"}[n < changes]))
+	}
+	return all
+}
+
+// play lets a restarted sender of a fleet run until the time is over. It does what the loop of a sender does.
+func (w *toldWorld) play(t *testing.T, senders int, seed uint64, until time.Duration) {
+	t.Helper()
+	kinds := []logic.Kind{{Name: "k", Batch: 1}}
+	set := logic.Settings{Senders: senders, Zones: 1, Slots: 8, MaxOpen: 400, MaxTries: 6, Tick: 5000, OnRequest: true, MayCancel: true,
+		Classes: []logic.Class{{Name: "a", Aim: logic.Second, Deadline: 2 * logic.Second, Worth: 1, LateWorth: 0.5}}, Kinds: kinds,
+		DrainGrace: micros(w.grace), FallMultiple: 2, FallWindow: 2 * logic.Second, ColdFrom: 0.2, WarmAfter: 14 * logic.Second, ReportLeft: -1, ReportLimit: -1}
+	if senders >= SpreadFrom {
+		set.ListAge = micros(ListAge) + set.DrainGrace
+	}
+	sender, err := logic.New(set, seed)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.begun, w.arrived = time.Now(), make([]time.Duration, len(w.changes))
+	dir, events := NewDirectory(nil, kinds), make(chan any, 64)
+	client := NewClient(Config{Addr: "d:1", Senders: senders, Grace: w.grace, Seed: seed, Directory: dir,
+		Log: slog.New(slog.DiscardHandler), Dial: w.dial}, events)
+	dir.Apply(&Update{Whole: true, Rows: w.list(0)}, time.Now())
+	client.Begin(0, true)
+	ctx, stop := context.WithCancel(t.Context())
+	var watches sync.WaitGroup
+	watching, next := false, []logic.Event{logic.Endpoints{Form: logic.ListCached, Entries: dir.Entries(), Old: true}}
+	chat, over := time.NewTicker(chatEvery), time.After(until)
+	var wake <-chan time.Time
+	for id := 0; ; {
+		for len(next) > 0 {
+			now := next
+			next, wake = nil, nil
+			for _, a := range sender.Step(micros(w.now()), now) {
+				switch a := a.(type) {
+				case logic.CallOut:
+					w.sends = append(w.sends, w.now())
+					next = append(next, logic.Reply{ID: a.ID, NoMore: true, Endpoint: a.Endpoint, Outcome: logic.Completed, Took: 1000})
+				case logic.SetTimer:
+					due := logic.Due{Token: a.Token}
+					time.AfterFunc(time.Duration(a.Wait)*time.Microsecond, func() {
+						select {
+						case events <- due:
+						case <-ctx.Done():
+						}
+					})
+				case logic.Listen:
+					if !watching {
+						watching = true
+						watches.Go(func() { client.Watch(ctx) })
+					}
+				}
+			}
+		}
+		select {
+		case <-chat.C:
+			id++
+			next = append(next, logic.Call{ID: fmt.Sprint("m", id), Left: 2 * logic.Second, Tenant: -1})
+		case <-wake:
+		case <-over:
+			chat.Stop()
+			stop()
+			watches.Wait()
+			client.client.CloseIdleConnections()
+			return
+		case ev := <-events:
+			due, ok := ev.(logic.Due)
+			if ok {
+				next = append(next, due)
+				continue
+			}
+			next = append(next, w.hear(dir, ev.(Event), &watching)...)
+		}
+	}
+}
+
+// hear takes an event of the client.
+func (w *toldWorld) hear(dir *Directory, ev Event, watching *bool) []logic.Event {
+	if ev.Err != nil {
+		*watching = false
+		return []logic.Event{logic.Endpoints{Form: logic.ListFailed}}
+	}
+	if ev.Watched {
+		return []logic.Event{logic.Endpoints{Form: logic.ListWatched}}
+	}
+	rows := dir.Apply(&ev.Update, time.Now())
+	ev.Done()
+	for n := range ev.Update.Generation {
+		if w.arrived[n] == 0 {
+			w.arrived[n] = w.now()
+		}
+	}
+	return []logic.Event{logic.Endpoints{Form: logic.ListDelta, Entries: rows}}
+}
+
+// told is when a change counts as told: what happened to calls before it arrived puts it off.
+func (w *toldWorld) told(n int) time.Duration {
+	told := w.changes[n] + toldAfter
+	for _, x := range w.spoilt {
+		if w.arrived[n] == 0 || x.at <= w.arrived[n] {
+			told = max(told, x.at+toldAfter)
+			if x.what == "silent" || x.what == "quiet watch" {
+				told = max(told, x.waited+toldWait)
+			}
+		}
+	}
+	return told
+}
+
+// check says which change was sent on against, or came late to a sender with no bound on the age of its list.
+func (w *toldWorld) check(strict bool, until time.Duration) (late time.Duration, broken string) {
+	if most := int(until / chatEvery); len(w.sends) < most/2 { // or the test says nothing
+		return 0, fmt.Sprintf("%d of %d messages were sent", len(w.sends), most)
+	}
+	for n := range w.changes {
+		told, came := w.told(n), w.arrived[n]
+		if came == 0 {
+			came = until
+		}
+		late = max(late, came-told)
+		if strict && came > told+toldSlack {
+			return late, fmt.Sprintf("change at %v counts as told at %v and came at %v; calls %+v", w.changes[n], told, came, w.spoilt)
+		}
+		i := slices.IndexFunc(w.sends, func(at time.Duration) bool { return at > told+w.grace+toldSlack && at < came })
+		if i >= 0 {
+			return late, fmt.Sprintf("change at %v counts as told at %v and came at %v, sent at %v; calls %+v", w.changes[n], told, came, w.sends[i], w.spoilt)
+		}
+	}
+	return late, ""
+}
+
+func micros(d time.Duration) logic.Micros { return logic.Micros(d / time.Microsecond) }
+
+// Whatever three things happen to calls for the list, one after the other, a change is in force, or nothing is sent that
+// it forbids, once it counts as told: 6 s after discovery had it and could be reached, or a watch fell silent, and for a
+// call that waits 2 s after its wait if that is later. What is told may be sent on against for the drain's grace.
+func TestChangesAreToldInTime(t *testing.T) {
+	graces := []time.Duration{300 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second}
+	for _, senders := range []int{1, 8, 20, 30, 300, 540} {
+		t.Run(fmt.Sprint(senders), func(t *testing.T) {
+			t.Parallel()
+			rng := rand.New(rand.NewPCG(uint64(senders), 1))
+			var worst time.Duration
+			var broken []string
+			orders := len(troubles) * len(troubles) * len(troubles)
+			for i := range orders {
+				order := []string{troubles[i%6], troubles[i/6%6], troubles[i/36]}
+				switch { // a discovery that gives no list for long, for which the client backs off
+				case i%43 == 0:
+					order = slices.Repeat([]string{"nonsense"}, 6+rng.IntN(9))
+				case i%43 == 1:
+					order = append(slices.Repeat([]string{"nonsense"}, 1+rng.IntN(4)), order...)
+				}
+				until := 20 * time.Second
+				for _, x := range order {
+					until += 8 * time.Second
+					if x == "quiet watch" || x == "silent" {
+						until += spreadHold + 2*watchSlack
+					}
+				}
+				w := &toldWorld{good: rng.IntN(4), script: slices.Clone(order), grace: graces[i%len(graces)]}
+				every := newsEvery
+				if i%2 == 1 {
+					w.quiet = time.Duration(rng.Int64N(int64(spreadHold)))
+					every = 10 * newsEvery
+				}
+				for at := time.Duration(rng.Int64N(int64(every))); at < until-12*time.Second; at += every/2 + time.Duration(rng.Int64N(int64(every))) {
+					w.changes = append(w.changes, at)
+				}
+				synctest.Test(t, func(t *testing.T) { w.play(t, senders, rng.Uint64(), until) })
+				late, bad := w.check(senders < SpreadFrom, until)
+				worst = max(worst, late)
+				if bad != "" {
+					broken = append(broken, fmt.Sprintf("%s, grace %v: %s", strings.Join(order, ", "), w.grace, bad))
+				}
+			}
+			t.Logf("%d of %d orders broken; the latest change came %v after it counted as told", len(broken), orders, worst)
+			for _, text := range broken[:min(len(broken), 5)] {
+				t.Error(text)
+			}
+		})
+	}
+}
