--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -12,7 +12,9 @@
 )
 
 const (
-	goneKept  = 10 * time.Minute // what is not listed keeps its number for so long
+	goneKept  = 10 * time.Minute // what is not listed keeps its number for so long ...
+	goneMany  = 16384            // ... unless that is as many as are listed, and so many more ...
+	goneLeast = 30 * time.Second // ... then it is for so long: lists that name all anew would fill the memory
 	pageSize  = 256              // records that are kept together
 	labelMost = 4096             // different zones, or kinds, that are told apart
 	tellMost  = 1024             // endpoints of one destination that the module is told of: it looks at each for each call
@@ -174,13 +176,11 @@
 		if reachable(in.HostPort) {
 			r.addr = in.HostPort
 		}
-		if was := r.told; d.count(id, r) {
-			rows = append(rows, d.entry(id, r))
-		} else if was {
-			row := d.entry(id, r)
+		row := d.entry(id, r)
+		if !d.count(id, r) { // also where it was not told here: a process before may have
 			row.State = logic.Gone
-			rows = append(rows, row)
 		}
+		rows = append(rows, row)
 		if len(d.spare[left]) > 0 {
 			short = append(short, left)
 		}
@@ -444,10 +444,12 @@
 		return
 	}
 	r := d.add(name, id)
-	if t.Addr != "" {
-		r.addr, r.dest = t.Addr, t.Dest
-		r.zone, r.kind = d.zones.at(t.Zone), d.kinds.at(t.Kind)
+	if t.Addr == "" { // it can't be listed
+		d.set(id, r, unlisted, time.Now())
+		return
 	}
+	r.addr, r.dest = t.Addr, t.Dest
+	r.zone, r.kind = d.zones.at(t.Zone), d.kinds.at(t.Kind)
 	if t.Lifecycle == "" {
 		r.told = true
 		d.set(id, r, doubtful, time.Time{})
@@ -482,8 +484,12 @@
 func (d *Directory) Forget(now time.Time, used func(name string, id logic.EndpointID) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	kept := goneKept
+	if len(d.gone) > d.listed+goneMany {
+		kept = goneLeast
+	}
 	for id, since := range d.gone {
-		if r := d.record(id); now.Sub(since) > goneKept && !used(r.name, id) {
+		if r := d.record(id); now.Sub(since) > kept && !used(r.name, id) {
 			d.drop(id, r)
 		}
 	}
--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -92,11 +92,12 @@
 	have     bool  // the file holds a whole list
 	refused  error // why it does not
 	saved    Saved
-	snapshot int64 // bytes of the snapshot
-	size     int64 // bytes of the file
-	follows  bool  // what is told next follows what the file holds; otherwise an update would stand behind a gap
-	torn     bool  // it has a bad end that could not be cut off
-	futile   bool  // the last rewrite found no room
+	snapshot int64       // bytes of the snapshot
+	size     int64       // bytes of the file
+	file     os.FileInfo // of the file, as it was when this process read or wrote it as a whole
+	begun    bool        // something was loaded or replaced since the start
+	follows  bool        // what is told next follows what the file holds; otherwise an update would stand behind a gap
+	torn     bool        // it has a bad end that could not be cut off
 }
 
 // OpenStore returns the store in dir. Its files together, each counted in whole 512 bytes, stay within budget bytes at
@@ -152,7 +153,7 @@
 	if err != nil {
 		return fmt.Errorf("saved list: %w", err)
 	}
-	s.size = info.Size()
+	s.size, s.file = info.Size(), info
 	r := wal.NewReader(f, mostBody)
 	if s.saved, err = scanSnapshot(r); err != nil {
 		return err
@@ -296,7 +297,7 @@
 // The file is checked before the first row is handed out. One that is not whole is refused: the error says why, and is
 // fs.ErrNotExist (wrapped) where nothing is saved. A bad end among the updates is no error: it is cut off, and what
 // stands before it is the list at the generation that Load returns. On an error, each's included, the caller drops what
-// it was given, and nothing can be appended until Replace.
+// it was given, and nothing can be appended until Replace. A process loads at its start: later calls only show the list.
 func (s *Store) Load(each func([]Instance) error) (Saved, error) {
 	return s.LoadSince(math.MinInt64, each)
 }
@@ -309,6 +310,8 @@
 	if err != nil {
 		return Saved{}, err
 	}
+	first := !s.begun
+	s.begun = true
 	if saved.Generation >= generation {
 		saved, err = s.read(each)
 	}
@@ -319,7 +322,7 @@
 		s.follows = false
 		return Saved{}, err
 	}
-	s.follows = !s.torn
+	s.follows = (s.follows || first) && !s.torn // one that lags behind what was told since still does
 	return saved, nil
 }
 
@@ -516,6 +519,9 @@
 // one stands until that is whole. It is removed before only where it would be wrong from now on: it can't be read, or
 // the generations of its origin count anew, below its own. An old copy is otherwise only older.
 //
+// The rows must be those at that generation, or later ones of the same origin. No update that came after it may be
+// appended before: it would be lost, and later ones would stand behind a gap.
+//
 // On an error no new copy is left and the old one stays; errNoRoom (wrapped) says that the two would have gone over the
 // budget.
 func (s *Store) Replace(origin string, generation int64, rows iter.Seq[Instance]) error {
@@ -525,8 +531,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open()
+	s.begun = true
 	err := s.replace(origin, generation, rows)
-	s.futile = errors.Is(err, errNoRoom)
 	if err != nil {
 		s.follows = s.follows && s.saved.Origin == origin && s.saved.Generation == generation
 		return fmt.Errorf("saved list: %w", err)
@@ -549,24 +555,31 @@
 		return err
 	}
 	saved := Saved{Origin: origin, Generation: generation}
-	size, err := s.write(&saved, rows, beside)
+	size, file, err := s.write(&saved, rows, beside)
 	if err == nil {
 		err = os.Rename(s.newPath(), s.path())
 	}
 	if err != nil {
 		return errors.Join(err, remove(s.newPath()))
 	}
-	s.have, s.refused, s.saved, s.size, s.snapshot, s.torn = true, nil, saved, size, size, false
+	s.have, s.refused, s.saved, s.size, s.file, s.snapshot, s.torn = true, nil, saved, size, file, size, false
 	return nil
 }
 
 // write writes a snapshot to the new file, beside an old one of that size, counts its rows, and says how long it is.
-func (s *Store) write(saved *Saved, rows iter.Seq[Instance], beside int64) (size int64, err error) {
+func (s *Store) write(saved *Saved, rows iter.Seq[Instance], beside int64) (size int64, file os.FileInfo, err error) {
 	f, err := os.OpenFile(s.newPath(), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	defer func() { err = errors.Join(err, f.Close()) }()
+	if size, err = s.writeTo(f, saved, rows, beside); err == nil {
+		file, err = f.Stat()
+	}
+	return size, file, err
+}
+
+func (s *Store) writeTo(f *os.File, saved *Saved, rows iter.Seq[Instance], beside int64) (size int64, err error) {
 	e := newEncoder()
 	defer encoders.Put(e)
 	put := func(body []byte) error {
@@ -619,7 +632,7 @@
 }
 
 // Append saves one update behind what there is: the rows that differ, gone ones as Lifecycle "removed". It must follow
-// what this process has loaded or replaced, and its generation must rise. On an error nothing is appended, and rows that were not appended are lacking: all later updates are refused
+// what this process has loaded at its start or replaced, and its generation must rise. On an error nothing is appended, and rows that were not appended are lacking: all later updates are refused
 // until Replace, as they would stand behind a gap. errNoRoom (wrapped) says that the update would have gone over the
 // budget, or taken the room in which the list can be rewritten.
 func (s *Store) Append(generation int64, rows []Instance) error {
@@ -633,7 +646,7 @@
 		return errLacks
 	}
 	if generation <= s.saved.Generation {
-		s.follows = len(rows) == 0
+		s.follows = generation == s.saved.Generation && len(rows) == 0 // a lower one is counted anew, or lost
 		return fmt.Errorf("saved list: %w: from %d to %d", errNotNewer, s.saved.Generation, generation)
 	}
 	if err := s.append(generation, rows); err != nil {
@@ -670,8 +683,8 @@
 	defer f.Close()
 	if info, err := f.Stat(); err != nil {
 		return err
-	} else if info.Size() != s.size {
-		return fmt.Errorf("%d bytes on disk, not %d", info.Size(), s.size)
+	} else if info.Size() != s.size || !os.SameFile(info, s.file) {
+		return fmt.Errorf("another process has written %d bytes where %d were", info.Size(), s.size)
 	}
 	if n, err := f.WriteAt(b, s.size); err != nil {
 		if n > 0 {
@@ -695,7 +708,8 @@
 }
 
 // Stale says that Replace is due: the updates have grown to more than half of the snapshot and some KB, there is hardly
-// room for more of them, or the file lacks changes. It does not say so once a rewrite has found no room, until one has.
+// room for more of them, or the file lacks changes. It says so also where Replace has found no room: whoever has heard
+// of that does not try again before the list is shorter.
 func (s *Store) Stale() bool {
 	if s.budget <= 0 {
 		return false
@@ -703,9 +717,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.open()
-	if s.futile {
-		return false
-	}
 	updates := s.size - s.snapshot
 	return !s.have || !s.follows || updates > max(s.snapshot/2, staleLeast) || updates > 0 && !s.roomFor(packFrom)
 }
