Hold a fleet's watch for 13 s, so that a change is in force within 17 s of its loss

Seen: a watch that falls silent at all senders left a change out of force for 18.75 s with 20 senders, 19.6 s with 17, and 24.0 s with 540 before; 17 s are given (TestScaleDiscovery/lost_watch and /silent).

Cause: spreadHold of 18 s, 1 s of slack and the pause add up to more.

Change: 13 s.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -23,7 +23,7 @@
 	// Calls of a fleet add up: where discovery takes one after the other, it rejects what waits for 2 s, and what it
 	// rejected costs it time too. Many senders go on watching while it answers soon, and pause once it is overbooked.
 	SpreadFrom = 8                       // senders from which on that is so
-	spreadHold = 18 * time.Second        // how long a watch may wait for news then
+	spreadHold = 13 * time.Second        // how long a watch may wait for news then: with the slack and a pause it is in force within 17 s
 	busyAfter  = 1300 * time.Millisecond // an answer with news that took longer is followed by a pause
 	spreadEach = 145 * time.Millisecond  // the mean of that, for each sender ...
 	spreadMost = 4400 * time.Millisecond // ... and the longest mean: with 2 s for the next answer it stays under ListAge
