Back off from a discovery that answers watches at once with nothing new

Seen: a discovery that repeats an older list, or does not wait, was called 588 times a minute by each sender (TestScaleDiscovery/older).

Cause: an answer that came at once and changed nothing was followed by a fixed pause of 0.1 s in Watch().

Change: it is followed by the same backoff as an answer that can't be taken, 0.1 s to 2.8 s.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -33,7 +33,7 @@
 	promptHold = time.Millisecond        // hold of the call that asks for such an answer
 	accepted   = 2200 * time.Millisecond // a call that is out for longer was not rejected: it waits for news
 	ListAge    = 5800 * time.Millisecond // of an answer, when what changed since counts as told; a bit less than 6 s
-	emptyPause = 100 * time.Millisecond  // between watches that are answered at once with nothing
+	emptyPause = 100 * time.Millisecond  // an answer with nothing new that comes sooner than this did not wait: a backoff follows
 	badMost    = 5                       // answers that can't be taken, one after the other, until the call counts as failed
 	badFirst   = 100 * time.Millisecond  // mean backoff after an answer that can't be taken, doubled with each ...
 	badLongest = 2800 * time.Millisecond // ... up to this: with a quarter more and the next call it stays under 6 s
@@ -188,8 +188,11 @@
 			d.emit(ctx, Event{Err: err})
 			return
 		}
-		bad, d.backoff = 0, 0
 		pause, took := time.Duration(0), time.Since(at)
+		idle := len(list.Rows) == 0 && took < emptyPause && !direct // answered at once, with nothing new
+		if bad = 0; !idle {
+			d.backoff = 0
+		}
 		if direct || list.count > 0 && took < prompt {
 			d.busy = took >= prompt
 		}
@@ -201,8 +204,8 @@
 		d.applied = applied
 		d.emit(ctx, Event{Update: list.Update, News: true, Done: sync.OnceFunc(func() { close(applied) })})
 		switch {
-		case len(list.Rows) == 0 && took < emptyPause && !direct:
-			pause = emptyPause
+		case idle:
+			pause = d.backOff()
 		case d.busy && d.spread > 0 && (list.count > 0 && took > busyAfter || list.count == 0 && first):
 			pause = d.spread*92/100 + time.Duration(d.rng.Int64N(int64(d.spread)*16/100))
 		}
