--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -203,7 +203,7 @@
 		go func() { defer close(done); d.Watch(ctx) }()
 		first, watch := "from=2&hold_ms=4000", "from=4&hold_ms=4000"
 		if x.senders >= SpreadFrom {
-			first, watch = "from=2&hold_ms=1", "from=4&hold_ms=18000"
+			first, watch = "from=2&hold_ms=1", "from=4&hold_ms=13000"
 		}
 		if query := await(t, p.asked, "first call"); query != first || time.Since(at) > x.soon+100*time.Millisecond {
 			t.Errorf("%+v: %s %v after the start, want %s", x, query, time.Since(at), first)
