End the pause after a failed call for the list before a change counts as told

Seen: a new test lets three calls for the list go wrong in every order (refused, reset, silent for 2 s, a watch of 18 s silent up to its end, nonsense, 503), after none to three refused ones, and lets an endpoint drain at any time.

Cause: list() drew the pause as 0.5 to 1.5 times a gap that grows to 4 s. A call that began as discovery came back and hung for 2 s was followed by up to 6 s, so that the change was asked for 8 s after it could be. After a watch that was silent, which counts as told 2 s after its wait, 1 s after the client gives it up, came the same pause.

Change: a pause lasts from half to all of 1.5 gaps, at most 4 s and the grace after a failed call (6 s less the 2 s that it may have hung), and 1 s and the grace after a watch; 0.1 s is kept for the answer.

The mean of the longest pauses is 3.7 s with a grace of 1 s (4 s before), so a discovery that is overbooked gets some 9% more calls from each sender that waits.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -77,7 +77,9 @@
 	askGap     = 50_000     // ours: first pause before the list is asked for again; what changes ...
 	askMost    = Second / 2 // ours: ... meanwhile counts as told, so the longest is under a drain's grace
 	askEach    = 25_000     // ours: the first pause for each of many senders, whose calls add up
-	askApart   = 4 * Second // ours: their longest: what changes counts as told after 6 s
+	askApart   = 4 * Second // ours: their longest: what changes counts as told after 6 s, and a call may hang 2
+	askBroke   = Second     // ours: and after a watch that failed, which may have been silent since it began
+	askAnswer  = 100_000    // ours: for the answer
 	logMost    = 200        // ours: log lines in a life
 	tableLeast = 256        // ours: entries that a table may hold before any is dropped
 	lastPart   = 0.15       // ours: part of a message's time in which one found untried goes past the pace
@@ -125,7 +127,8 @@
 // ---- Endpoint list -------------------------------------------------------------------
 
 func (s *Sender) list(ev Endpoints) {
-	if ev.Form != ListFailed || s.watched {
+	broke := ev.Form == ListFailed && s.watched
+	if ev.Form != ListFailed || broke {
 		s.listAt = s.now
 	}
 	s.saved = ev.Form == ListCached && ev.Old
@@ -136,8 +139,13 @@
 		// Asked in vain or subscription broken: ask again, later each time.
 		first, most := s.askSpan()
 		gap := max(s.askGap, first)
-		if s.many { // each at a time of its own
-			gap = gap * Micros(50+s.rng.IntN(100)) / 100
+		if s.many { // each at a time of its own, in time for what counts as told meanwhile
+			longest := most
+			if broke {
+				longest = askBroke
+			}
+			gap = min(gap*3/2, max(longest+s.set.DrainGrace-askAnswer, askGap))
+			gap -= Micros(s.rng.Int64N(int64(gap/2 + 1)))
 		}
 		s.askAt = s.now + gap
 		s.askGap = min(2*max(s.askGap, first), most)
