Take a sibling's answer for proof only once the endpoint fails again, among many senders

Cause: succeeded() took an answer of an endpoint whose sibling was still suspect for proof that the endpoint had not been out (well), and budget() let its sender go free. Both were back: the sibling had only not been tried since. With thin traffic that is the usual case.

Change: among many senders an endpoint is proven well when the sibling fails, or hangs, after it answered (proves). Few senders keep the rule that they had.

--- a/logic/logic.go
+++ b/logic/logic.go
@@ -193,7 +193,7 @@
 			s.unlist(e)
 		}
 		e = &endpoint{id: row.Endpoint, dest: d, lane: d.lane, state: Gone}
-		e.lastOK, e.lastBad, e.lastSent, e.well = longAgo, longAgo, longAgo, longAgo
+		e.lastOK, e.lastBad, e.lastSent, e.well, e.said = longAgo, longAgo, longAgo, longAgo, longAgo
 		if s.kind(d).Apart {
 			e.lane = s.newLane()
 		}
@@ -758,6 +758,7 @@
 			if a.stuck = age > stuck; a.stuck {
 				// No outcome yet, so nothing is known to have failed: hold back, but set no budget.
 				s.suspect(e, "silent")
+				s.proves(e)
 			}
 		}
 		if !a.late && age > patience*stuck {
@@ -975,7 +976,9 @@
 		e.bad = min(e.bad, s.stray) // what failed in the outage is dealt with: one break more is no new one
 	}
 	// An answer while a sibling is out shows that e is well; one after its return may be of the return itself.
-	if !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
+	// Many senders try the sibling too rarely to know which it is, until it fails again (proves).
+	e.said = max(e.said, sent)
+	if !s.many && !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
 		return x.cold && !x.suspect && x.lane == e.lane && x.lastBad > e.well
 	}) {
 		e.well = max(e.well, sent)
@@ -1001,6 +1004,7 @@
 	e.bad += badAlpha * (1 - e.bad)
 	if e.suspect || e.bad > badShare || s.chance(e) < outOdds || stale || how == "silent" {
 		s.takeOut(e, how)
+		s.proves(e)
 	} else if e.fails <= 2 { // the rest of a run tells of e alone
 		s.stray += strayAlpha * (1 - s.stray)
 	}
@@ -1025,6 +1029,7 @@
 		s.now-l.firstFull > fullsSpan {
 		e.lastBad = s.now
 		s.takeOut(e, "refuses all")
+		s.proves(e)
 	}
 }
 
@@ -1045,6 +1050,15 @@
 		s.likely(run) < doubtOdds
 }
 
+// proves notes that the siblings of e that answered since its outage began are well: it is still out.
+func (s *Sender) proves(e *endpoint) {
+	for _, x := range e.dest.eps {
+		if s.many && e.cold && x.lane == e.lane && !x.suspect && x.said > e.dest.downAt {
+			x.well = s.now
+		}
+	}
+}
+
 // takeOut takes an endpoint for out: from now on single trials, and after its return a budget.
 func (s *Sender) takeOut(e *endpoint, how string) {
 	s.suspect(e, how)
--- a/logic/state.go
+++ b/logic/state.go
@@ -51,6 +51,7 @@
 	fails, fulls      int // in a row
 	lastOK, lastBad   Micros
 	well              Micros // last answer that shows it to be well for itself
+	said              Micros // when the last call that it answered was sent
 	suspect           bool   // out, as far as we know
 	cold              bool   // was out; budgeted until backAt+WarmAfter
 	backAt            Micros
