--- a/logic/logic.go
+++ b/logic/logic.go
@@ -759,6 +759,7 @@
 			if a.stuck = age > stuck; a.stuck {
 				// No outcome yet, so nothing is known to have failed: hold back, but set no budget.
 				s.suspect(e, "silent")
+				s.proves(e)
 			}
 		}
 		if !a.late && age > patience*stuck {
@@ -977,9 +978,11 @@
 		e.bad = min(e.bad, s.stray) // what failed in the outage is dealt with: one break more is no new one
 	}
 	// An answer while a sibling is out shows that e is well; one after its return may be of the return itself.
-	if !e.dest.hurt || !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
+	// Many senders try the sibling too rarely to know which it is, until it fails again (proves).
+	e.said = max(e.said, sent)
+	if !s.many && (!e.dest.hurt || !slices.ContainsFunc(e.dest.eps, func(x *endpoint) bool {
 		return x.cold && !x.suspect && x.lane == e.lane && x.lastBad > e.well
-	}) {
+	})) {
 		e.well = max(e.well, sent)
 	}
 	e.lastOK = s.now
@@ -1003,6 +1006,7 @@
 	e.bad += badAlpha * (1 - e.bad)
 	if e.suspect || e.bad > badShare || s.chance(e) < outOdds || stale || how == "silent" {
 		s.takeOut(e, how)
+		s.proves(e)
 	} else if e.fails <= 2 { // the rest of a run tells of e alone
 		s.stray += strayAlpha * (1 - s.stray)
 	}
@@ -1030,6 +1034,7 @@
 		s.now-l.firstFull > fullsSpan {
 		e.lastBad = s.now
 		s.takeOut(e, "refuses all")
+		s.proves(e)
 	}
 }
 
@@ -1050,6 +1055,15 @@
 		s.likely(run) < doubtOdds
 }
 
+// proves notes that the siblings of e that answered since its outage began are well: it is still out.
+func (s *Sender) proves(e *endpoint) {
+	for _, x := range e.dest.eps {
+		if s.many && e.cold && x.lane == e.lane && !x.suspect && x.said > e.dest.downAt {
+			x.well = s.now
+		}
+	}
+}
+
 // takeOut takes an endpoint for out: from now on single trials, and after its return a budget.
 func (s *Sender) takeOut(e *endpoint, how string) {
 	s.suspect(e, how)
--- a/logic/state.go
+++ b/logic/state.go
@@ -57,6 +57,7 @@
 	bad               float64
 	lastOK, lastBad   Micros
 	well              Micros // last answer that shows it to be well for itself
+	said              Micros // when the last call that it answered was sent
 	backAt            Micros
 	trialAt, trialGap Micros
 	slow              float64 // smoothed latency, microseconds
@@ -263,7 +264,7 @@
 
 func newEndpoint(id EndpointID, d *dest) *endpoint {
 	return &endpoint{id: id, dest: d, lane: d.lane,
-		lastOK: longAgo, lastBad: longAgo, lastSent: longAgo, well: longAgo}
+		lastOK: longAgo, lastBad: longAgo, lastSent: longAgo, well: longAgo, said: longAgo}
 }
 
 func (s *Sender) dest(id int64) *dest {
