--- a/logic/fleet_test.go
+++ b/logic/fleet_test.go
@@ -490,14 +490,14 @@
 }
 
 // fleetCases are days that differ in what the rule's text leaves open; the rest is drawn.
-func fleetCases(senders, seeds int) (cs []fleetCase) {
+func fleetCases(senders, seeds int, faults ...fault) (cs []fleetCase) {
 	n, rates := uint64(0), []float64{4, 11, 40, 120}
 	if senders < 100 { // what is held by each makes long steps
 		rates = rates[:3]
 	}
 	for seed := range uint64(seeds) {
 		for told := range 3 {
-			for _, how := range []fault{hangs, refuses, resets, fails} {
+			for _, how := range faults {
 				for endpoints := 1; endpoints <= 2; endpoints++ {
 					n++
 					rnd := rand.New(rand.NewPCG(seed*1000+n, 5))
@@ -513,7 +513,8 @@
 
 // A cold destination falls under the sum of what all send; the rule is broken if over two thirds of that came from
 // senders that knew. Each has only what it saw itself.
-func TestFleetKeepsAColdDestinationUp(t *testing.T) {
+func keepsUp(t *testing.T, seeds int, faults ...fault) {
+	t.Helper()
 	for _, senders := range []int{20, 30, 300, 540} {
 		t.Run(fmt.Sprint(senders), func(t *testing.T) {
 			t.Parallel()
@@ -521,7 +522,7 @@
 			var w fleetResult
 			var wholes []Micros
 			broken, served, use, days := 0, 0.0, 0.0, 0
-			for _, c := range fleetCases(senders, *fleetSeeds) {
+			for _, c := range fleetCases(senders, seeds, faults...) {
 				r := newFleet(t, c).play(t)
 				days++
 				served += r.share
@@ -547,6 +548,15 @@
 	}
 }
 
+func TestFleetKeepsAColdDestinationUp(t *testing.T) {
+	keepsUp(t, *fleetSeeds, hangs, refuses, resets, fails)
+}
+
+// The same for a destination that was shut: it turned all calls away unseen, with neither a wait nor a report.
+func TestFleetKeepsADestinationUpThatWasShut(t *testing.T) {
+	keepsUp(t, 4**fleetSeeds, shuts)
+}
+
 // Where nothing is out, calls that break by chance must not make a fleet slow: what each sender doubts for a while has
 // its price.
 func TestFleetAtStrayBreaks(t *testing.T) {
