--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -8,13 +8,15 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"crossdeal/internal/discovery"
 )
 
 // upgradeWorld is a sender with one endpoint, as a process.
-func upgradeWorld(t *testing.T) (p *platform, e *endpoint, dir string, known List, x *process) {
+func upgradeWorld(t *testing.T) (p *platform, e *endpoint, dir string, known discovery.List, x *process) {
 	t.Helper()
 	p, e, dir = newPlatform(t), newEndpoint(t), t.TempDir()
-	known = List{Generation: 1, Reset: true, Instances: instances(e)}
+	known = discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
 	p.list = known
 	return p, e, dir, known, startProcess(t, p, dir, known)
 }
@@ -24,9 +26,9 @@
 func TestUpgrade(t *testing.T) {
 	p, e, dir, known, old := upgradeWorld(t)
 	other := newEndpoint(t)
-	list := append(instances(e, other), Instance{ID: "s-w", HostPort: other.addr(), Zone: "a", Kind: "std", Dest: 2,
+	list := append(instances(e, other), discovery.Instance{ID: "s-w", HostPort: other.addr(), Zone: "a", Kind: "std", Dest: 2,
 		Lifecycle: "up", Weight: 100})
-	p.set(func() { p.list = List{Generation: 2, Reset: true, Instances: list} })
+	p.set(func() { p.list = discovery.List{Generation: 2, Reset: true, Instances: list} })
 	taken(t, p, 2)
 	wantAnswer(t, old.door, "disable-server s-1", "ok")
 	c := dial(t, old.addr)
@@ -116,6 +118,12 @@
 
 // askAsHeir takes a parcel as a new process does.
 func askAsHeir(t *testing.T, dir string) *net.UnixConn {
+	t.Helper()
+	return askAs(t, dir, handWord)
+}
+
+// askAs is the same with the word for a form.
+func askAs(t *testing.T, dir, word string) *net.UnixConn {
 	t.Helper()
 	path, d, err := socketPath(dir)
 	if err != nil {
@@ -126,7 +134,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := io.WriteString(conn, handWord+" -\n"); err != nil {
+	if _, err := io.WriteString(conn, word+" -\n"); err != nil {
 		t.Fatal(err)
 	}
 	return conn
@@ -134,13 +142,16 @@
 
 // A new process that dies before it has taken the parcel leaves the old one as it was: connections, calls and all.
 func TestUpgradeHeirDies(t *testing.T) {
-	for _, read := range []int{0, 8} { // at once, or having read the head
-		t.Run(fmt.Sprint(read), func(t *testing.T) {
+	for _, x := range []struct {
+		read int
+		word string
+	}{{0, handWord}, {8, handWord}, {0, handRows}, {8, handRows}} { // at once, or having read the head
+		t.Run(fmt.Sprint(x.read, " ", x.word), func(t *testing.T) {
 			n, c, _, eps := world(t, 1)
 			c.put("a", "unsafe", "+OK")
 			in := await(t, eps[0].calls, "call")
-			conn := askAsHeir(t, n.cfg.StateDir)
-			if _, err := io.ReadFull(conn, make([]byte, read)); err != nil {
+			conn := askAs(t, n.cfg.StateDir, x.word)
+			if _, err := io.ReadFull(conn, make([]byte, x.read)); err != nil {
 				t.Fatal(err)
 			}
 			conn.Close()
