Log each message, attempt, list call and closed client at debug level, with ids and reasons

The incident's logs name lists only: they cannot say which sender sent what on which list, why a list call ended, nor how long a pause before the next one was. BALANCER_LOG=debug writes a line for each; the settings that matter to it are one line at the start. No change to what is done.

--- a/cmd/cometrack/main.go
+++ b/cmd/cometrack/main.go
@@ -18,13 +18,25 @@
 )
 
 func main() {
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: logLevel()}))
 	if err := run(log); err != nil {
 		log.Error("cometrack", "err", err)
 		os.Exit(1)
 	}
 }
 
+// logLevelVariable names the environment variable that sets the lowest level that is logged: debug, info, warn or error.
+const logLevelVariable = "BALANCER_LOG"
+
+// logLevel is the level that the environment asks for, info if it names none that is known.
+func logLevel() slog.Level {
+	var level slog.Level
+	if err := level.UnmarshalText([]byte(os.Getenv(logLevelVariable))); err != nil {
+		return slog.LevelInfo
+	}
+	return level
+}
+
 const (
 	readPause = 100 * time.Millisecond // before a configuration that could not be read is read again
 	readTries = 10
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -163,7 +163,9 @@
 			limit = d.hold + watchSlack
 		}
 		at := time.Now()
+		d.log.Debug("list call", "url", url, "limit", limit.String())
 		list, err := d.await(call, url, limit)
+		d.logAnswer(list, err, time.Since(at))
 		if moved := d.end(); ctx.Err() != nil {
 			return
 		} else if moved {
@@ -213,6 +215,15 @@
 	}
 }
 
+// logAnswer writes how a call for the list ended, for who follows it call by call.
+func (d *Client) logAnswer(list *answer, err error, took time.Duration) {
+	if err != nil {
+		d.log.Debug("list call ended", "took", took.String(), "err", err)
+		return
+	}
+	d.log.Debug("list call ended", "took", took.String(), "generation", list.Generation, "whole", list.Whole, "rows", list.count)
+}
+
 // sense says what is wrong with a list, if anything is: changes where there is nothing to change yet, a whole list with
 // no word of instances, or a list that is older than what is known.
 func (d *Client) sense(list *answer) error {
@@ -308,6 +319,9 @@
 
 // wait pauses, unless ctx or a move of discovery ends it.
 func (d *Client) wait(ctx context.Context, pause time.Duration) {
+	if pause > 0 {
+		d.log.Debug("pause before the next list call", "for", pause.String())
+	}
 	select {
 	case <-ctx.Done():
 	case <-d.wake:
--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -352,6 +352,16 @@
 	return t, true
 }
 
+// Name is the published id of an endpoint; empty if the number is not in use.
+func (d *Directory) Name(ep logic.EndpointID) string {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	if r := d.record(ep); r != nil {
+		return r.name
+	}
+	return ""
+}
+
 // Len is the number of endpoints that are listed.
 func (d *Directory) Len() int {
 	d.mu.RLock()
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -154,6 +154,7 @@
 			c.start(conn, time.Now().Add(requestTime)) // a peer is owed an answer or an end soon after it connects
 		} else {
 			c.away++
+			c.log.Debug("client turned away", "peer", conn.RemoteAddr(), "connections", len(c.conns), "closing", c.closing)
 		}
 		for c.ending > endingMost { // a burst must not outrun the readers that give their descriptors back
 			c.ended.Wait()
@@ -357,6 +358,7 @@
 	if worst == nil || len(c.conns) > c.most+c.most/8 {
 		return false
 	}
+	c.log.Debug("client evicted", "peer", worst.RemoteAddr(), "rank", least, "since", since)
 	c.conns[worst].evict = true
 	c.evicted++
 	if c.frozen {
@@ -503,6 +505,7 @@
 	}
 	for {
 		if c.done(r.Buffered()) || !c.await(conn, false, idle) {
+			c.log.Debug("client closed", "peer", conn.RemoteAddr(), "why", "shutdown or made room", "buffered", r.Buffered())
 			return false
 		}
 		if err := c.waitRequest(conn, r); err != nil {
@@ -518,6 +521,7 @@
 			if !first.IsZero() && !time.Now().Before(first) {
 				c.tooLate()
 			}
+			c.log.Debug("client closed", "peer", conn.RemoteAddr(), "why", "no request", "err", err)
 			return false
 		}
 		by := time.Now().Add(requestTime)
@@ -539,14 +543,17 @@
 			case errors.Is(err, os.ErrDeadlineExceeded):
 				c.tooLate()
 			}
+			c.log.Debug("client closed", "peer", conn.RemoteAddr(), "why", "bad request", "err", err)
 			return false
 		}
 		if !c.came(conn) {
+			c.log.Debug("client closed", "peer", conn.RemoteAddr(), "why", "made room under a request")
 			return false
 		}
 		answer := c.answer(args)
 		conn.SetWriteDeadline(time.Now().Add(answerTime))
 		if _, err := conn.Write([]byte(answer)); err != nil {
+			c.log.Debug("client closed", "peer", conn.RemoteAddr(), "why", "answer not written", "err", err)
 			return false
 		}
 		c.served(conn)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -81,6 +81,7 @@
 	journal    *Journal
 	sender     *logic.Sender
 	caller     *caller
+	trace      *tracer
 	dir        *discovery.Directory
 	saved      *discovery.Store
 	disc       watcher
@@ -143,6 +144,9 @@
 	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, clients: clients, door: d, successors: make(chan successor), moves: make(chan struct{}, 1), writes: make(chan leave), dir: discovery.NewDirectory(cfg.Deploy.Zones, set.Kinds),
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
 		events: events, orders: orders, ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
+	n.trace = newTracer(log, n.dir)
+	log.Info("settings", "on_request", set.OnRequest, "senders", set.Senders, "drain_grace", span(set.DrainGrace).String(),
+		"slots", set.Slots, "max_open", set.MaxOpen, "known", len(cfg.Known.Instances), "generation", cfg.Known.Generation)
 	n.saved = discovery.OpenStore(cfg.StateDir, cfg.Limits.storeBytes(), log)
 	n.disc = n.discoveryClient()
 	n.notices = newNotices(cfg.Discovery, log, n.events)
@@ -432,6 +436,7 @@
 func (n *Node) allow(x leave) {
 	h := n.held[x.call.id]
 	if h == nil || h.call != x.call || h.over || x.call.state.Load() != callConnecting {
+		n.trace.withheld(x.call)
 		x.answer <- false
 		return
 	}
@@ -602,6 +607,7 @@
 	id := ev.msg.ID
 	_, over := n.recent[id]
 	if n.held[id] != nil || n.journal.Entry(id) != nil || over {
+		n.trace.repeated(id)
 		if n.waits(id) {
 			n.puts = append(n.puts, ev) // it gets the answer of the first
 			return
@@ -611,6 +617,7 @@
 	}
 	most := n.cfg.Deploy.Settings.MaxOpen
 	if most > 0 && n.open >= most || !n.journal.Room(len(ev.msg.Body)) {
+		n.trace.turnedAway(id, n.open, most)
 		ev.answer <- busy(0)
 		return
 	}
@@ -705,6 +712,7 @@
 	}
 	ended := h.over
 	done := r.outcome == logic.Completed || r.over
+	n.trace.outcome(ev)
 	switch {
 	case ended:
 	case done:
@@ -825,12 +833,14 @@
 	for _, p := range n.puts {
 		switch answer := answers[p.msg.ID]; {
 		case answer != "":
+			n.trace.answered(p.msg.ID, answer)
 			p.answer <- answer
 		case err != nil: // not written, so not taken on
 			p.answer <- busy(0)
 			n.drop(p.msg.ID)
 			n.next = append(n.next, logic.ClientGone{ID: p.msg.ID})
 		default:
+			n.trace.accepted(&p.msg)
 			p.answer <- answerOK
 		}
 	}
@@ -886,6 +896,7 @@
 		n.callOut(work, a, kept[a.ID], written)
 	case logic.Cancel:
 		if h := n.held[a.ID]; h != nil && h.stop != nil && h.tries-1 == a.Attempt {
+			n.trace.cancelled(a)
 			h.stop(nil)
 		}
 	case logic.Refuse, logic.Fail:
@@ -895,6 +906,7 @@
 			return
 		}
 		if h := n.held[x.ID]; h != nil && !h.over {
+			n.trace.ended(x)
 			n.finish(x.ID, h)
 			n.notices.add(x)
 		}
@@ -943,6 +955,7 @@
 	}
 	ctx, stop := context.WithCancelCause(work)
 	h.stop, h.call = stop, in
+	n.trace.send(in, n.generation)
 	var err error
 	if in.request, err = deliverRequest(h.msg, to.Addr, in.giveUp); err != nil || !written {
 		if err != nil {
--- a/logic/types.go
+++ b/logic/types.go
@@ -212,6 +212,18 @@
 	Moot                       // never sent: no slot, message over, or too many attempts
 )
 
+// outcomeNames are the outcomes as logs show them.
+var outcomeNames = [...]string{Completed: "completed", Errored: "errored", Full: "full", Overdue: "overdue",
+	RefusedConn: "refused_conn", Severed: "severed", Recalled: "recalled", Moot: "moot"}
+
+// String names the outcome.
+func (o Outcome) String() string {
+	if o >= 0 && int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return "unknown"
+}
+
 // Reply is the one outcome of an attempt.
 type Reply struct {
 	ID       string
