Take a pushed list for a lease: ask the agent at once, and stop sends on what is unconfirmed

Cause: Client.Watch spread the first call of a first start over up to 5.25 s (8 to 104 senders in the settings), paused up to 2.8 s after an answer that could not be used, and the module's askSpan up to 4 s after a failed call, as an overbooked discovery needs it; sends went on meanwhile. Where the list is pushed, an agent on the same machine answers at once and what it has counts as known.

Lists on request keep their pauses, but an unusable answer stops sends there too.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -42,6 +42,8 @@
 	readAhead  = 64 << 10                // bytes of an answer that are read at once
 	silence    = 2 * time.Second         // between bytes of an answer that has begun; that long it may take in any case ...
 	slowest    = 128 << 10               // ... and a second for so many bytes beyond that
+	usualRow   = 200                     // bytes of a row, to guess an answer's size
+	leastPaid  = 64 << 10                // bytes of an answer that buy it time, however short the known list is
 	trailer    = 4 << 10                 // bytes behind a list that are read, to keep the connection ...
 	trailTime  = 100 * time.Millisecond  // ... and for how long
 )
@@ -56,17 +58,21 @@
 
 // Event is news of the list, or of a call for it that failed.
 type Event struct {
-	Update  Update
-	News    bool   // Update is an answer
-	Watched bool   // no news yet: it is told from now on as soon as there is any
-	Err     error  // of a call that failed; the watch has ended
-	Done    func() // the loop calls it once the update is applied; nil if there is none
+	Update   Update
+	News     bool   // Update is an answer
+	Watched  bool   // no news yet: it is told from now on as soon as there is any
+	Begun    bool   // pushed lists: an answer has begun to come and takes its time, so what is known may be old
+	Unusable bool   // an answer came that can't be used: it may have held news, which is asked for again
+	Err      error  // of a call that failed; the watch has ended
+	Silent   bool   // Err: nobody answered
+	Done     func() // the loop calls it once the update is applied; nil if there is none
 }
 
 // Config is what a client needs to know.
 type Config struct {
 	Addr      string        // of discovery, host:port
 	Senders   int           // that share discovery
+	Pushed    bool          // an agent on this machine has the list; else it comes only to who asks
 	Grace     time.Duration // for which what begins to drain may still be called
 	Seed      uint64
 	MaxBytes  int64 // of an answer; LeastBytes at least
@@ -83,9 +89,8 @@
 	store   *Store
 	log     *slog.Logger
 	events  chan<- any
-	hold    time.Duration // how long a watch may wait for news
-	spread  time.Duration // mean pause after news from discovery that is busy
-	first   time.Duration // longest pause before the first call
+	timing  timing
+	pushed  bool
 	most    int64         // bytes of an answer
 	rng     *rand.Rand    // sets our calls apart from those of other senders; used by one watch at a time, as are ...
 	gen     int64         // ... the version of the list that the loop has ...
@@ -108,21 +113,15 @@
 
 // NewClient returns a client that sends an Event for whatever it learns.
 func NewClient(cfg Config, events chan<- any) *Client {
-	hold, spread, first := watchHold, time.Duration(0), time.Duration(0)
-	if senders := cfg.Senders; senders >= SpreadFrom {
-		each := time.Duration(min(senders, 1000)) * spreadEach
-		hold, spread, first = spreadHold, min(each, spreadMost), min(each, firstMost)
-		if time.Duration(min(senders, 1000))*firstEach > firstMost {
-			// If discovery took one call after the other, no spread would do. It is as the protocol has it, with an
-			// answer at once, and what begins to drain after the start may still be called for the grace.
-			first = min(first, cfg.Grace)
-		}
+	times := requestedTiming(cfg.Senders, cfg.Grace)
+	if cfg.Pushed {
+		times = pushedTiming(cfg.Grace)
 	}
 	dial := cfg.Dial
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: 2 * time.Second}).DialContext
 	}
-	return &Client{base: "http://" + cfg.Addr, hold: hold, spread: spread, first: first, most: max(cfg.MaxBytes, LeastBytes),
+	return &Client{base: "http://" + cfg.Addr, timing: times, pushed: cfg.Pushed, most: max(cfg.MaxBytes, LeastBytes),
 		rng: rand.New(rand.NewPCG(cfg.Seed, 1)), dir: cfg.Directory, store: cfg.Store, log: cfg.Log, events: events, wake: make(chan struct{}, 1),
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: dial, MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
@@ -140,15 +139,16 @@
 // Watch reports changes until a call fails. Each call follows the last answer at once, so that nothing is missed in
 // between, unless discovery is overbooked. Among many senders the first does not wait for news, which shows whether
 // discovery has time; how long a watch takes tells of the news alone. A restarted sender makes it at once: what it
-// would be told counts as told. At a first start the list is new, and a fleet's calls spread.
+// would be told counts as told. At a first start the list is new, and a fleet's calls spread. Where lists are pushed,
+// the first call of each watch does not wait: it shows at once what the agent has, or that it is silent.
 func (d *Client) Watch(ctx context.Context) {
-	if d.first > 0 && !d.begun && !d.back {
-		d.wait(ctx, time.Duration(d.rng.Int64N(int64(d.first))))
+	if d.timing.firstPause > 0 && !d.begun && !d.back {
+		d.wait(ctx, time.Duration(d.rng.Int64N(int64(d.timing.firstPause))))
 	}
-	bad := 0 // answers in a row that made no sense
+	bad, asked := 0, false // answers in a row that made no sense; whether this watch has made a call
 	for ctx.Err() == nil {
-		first := d.spread > 0 && !d.begun
-		d.begun = true
+		first := d.timing.busyPause > 0 && !d.begun || d.pushed && !asked
+		d.begun, asked = true, true
 		call, base, moved := d.begin(ctx)
 		if moved { // its list begins anew: the versions of another address may be others
 			d.started = false
@@ -158,13 +158,14 @@
 		switch {
 		case d.started && direct:
 			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, promptHold.Milliseconds())
+			limit = d.timing.answer
 		case d.started:
-			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, d.hold.Milliseconds())
-			limit = d.hold + watchSlack
+			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, d.timing.hold.Milliseconds())
+			limit = d.timing.hold + watchSlack
 		}
 		at := time.Now()
 		d.log.Debug("list call", "url", url, "limit", limit.String())
-		list, err := d.await(call, url, limit)
+		list, err := d.await(call, url, limit, !direct)
 		d.logAnswer(list, err, time.Since(at))
 		if moved := d.end(); ctx.Err() != nil {
 			return
@@ -175,7 +176,11 @@
 		if err == nil {
 			err = d.sense(list)
 		}
-		if bad++; bad < badMost && (errors.Is(err, errUnreadable) || errors.Is(err, errOlder) || errors.Is(err, errOversize)) {
+		unusable := errors.Is(err, errUnreadable) || errors.Is(err, errOlder) || errors.Is(err, errOversize)
+		if unusable {
+			d.emit(ctx, Event{Unusable: true})
+		}
+		if bad++; bad < badMost && unusable {
 			pause := d.backOff()
 			d.log.Warn("discovery, the list stays as it is", "err", err, "known", d.gen, "again in", pause.String())
 			d.wait(ctx, pause) // not for long: what it has to tell counts as told
@@ -187,7 +192,7 @@
 		if err != nil {
 			d.log.Warn("discovery", "err", err)
 			d.busy = d.busy || errors.Is(err, errUnavailable)
-			d.emit(ctx, Event{Err: err})
+			d.emit(ctx, Event{Err: err, Silent: isSilent(err)})
 			return
 		}
 		pause, took := time.Duration(0), time.Since(at)
@@ -208,8 +213,8 @@
 		switch {
 		case idle:
 			pause = d.backOff()
-		case d.busy && d.spread > 0 && (list.count > 0 && took > busyAfter || list.count == 0 && first):
-			pause = d.spread*92/100 + time.Duration(d.rng.Int64N(int64(d.spread)*16/100))
+		case d.busy && d.timing.busyPause > 0 && (list.count > 0 && took > busyAfter || list.count == 0 && first):
+			pause = d.timing.busyPause*92/100 + time.Duration(d.rng.Int64N(int64(d.timing.busyPause)*16/100))
 		}
 		d.wait(ctx, pause)
 	}
@@ -236,8 +241,14 @@
 	return nil
 }
 
-// await makes a call, and tells the loop if it is one that waits for news.
-func (d *Client) await(ctx context.Context, url string, limit time.Duration) (*answer, error) {
+// isSilent says whether a call failed because nobody answered: no connection came up, or nothing came over it.
+func isSilent(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, errSilent) && !errors.Is(err, errUnreadable) || errors.As(err, &op) && op.Op == "dial"
+}
+
+// await makes a call, and tells the loop once it waits for news, if it may.
+func (d *Client) await(ctx context.Context, url string, limit time.Duration, watch bool) (*answer, error) {
 	type result struct {
 		list *answer
 		err  error
@@ -250,14 +261,24 @@
 	if d.settled(ctx) == nil {
 		d.save() // the answer is not compared with what changes meanwhile: the next update is told after this
 	}
-	out := time.NewTimer(accepted)
+	out := time.NewTimer(d.timing.accepted)
 	defer out.Stop()
 	select {
 	case a := <-answers:
 		return a.list, a.err
 	case <-begun: // it may be long: that is no wait for news
+		if !d.pushed {
+			break
+		}
+		out.Reset(d.timing.accepted)
+		select {
+		case a := <-answers:
+			return a.list, a.err
+		case <-out.C:
+			d.emit(ctx, Event{Begun: true})
+		}
 	case <-out.C:
-		if d.started {
+		if watch {
 			d.emit(ctx, Event{Watched: true})
 		}
 	}
@@ -313,7 +334,7 @@
 // backOff is the pause after an answer that can't be taken. It grows until a good one comes, also from one watch to the
 // next.
 func (d *Client) backOff() time.Duration {
-	d.backoff = min(max(2*d.backoff, badFirst), badLongest)
+	d.backoff = min(max(2*d.backoff, d.timing.backoffFirst), d.timing.backoffMost)
 	return d.backoff*3/4 + time.Duration(d.rng.Int64N(int64(d.backoff)/2))
 }
 
@@ -415,7 +436,10 @@
 		return nil, err
 	}
 	over.Reset(left)
-	body := &progress{in: resp.Body, over: over, most: d.most, begun: begun}
+	body := &progress{in: resp.Body, over: over, most: d.most, begun: begun, stall: d.timing.stall, paid: d.most}
+	if known := d.dir.Len(); d.timing.bounded && known > 0 {
+		body.paid = max(leastPaid, 2*int64(known)*usualRow)
+	}
 	list, err := d.dir.read(bufio.NewReaderSize(body, readAhead), int(d.most/rowBytes))
 	switch cause := context.Cause(ctx); {
 	case errors.Is(err, errOversize):
@@ -442,7 +466,9 @@
 	most  int64
 	read  int64
 	begun chan<- struct{}
-	at    time.Time // of the first byte
+	at    time.Time     // of the first byte
+	stall time.Duration // between bytes
+	paid  int64         // bytes that buy time
 }
 
 func (p *progress) Read(b []byte) (int, error) {
@@ -455,8 +481,8 @@
 		return 0, fmt.Errorf("%w: over %d bytes, the limit is %d", errOversize, p.read, p.most)
 	}
 	if n > 0 {
-		all := silence + time.Duration(p.read)*time.Second/slowest
-		p.over.Reset(min(silence, all-time.Since(p.at)))
+		all := p.stall + time.Duration(min(p.read, p.paid))*time.Second/slowest
+		p.over.Reset(min(p.stall, all-time.Since(p.at)))
 	}
 	return n, err
 }
--- /dev/null
+++ b/internal/discovery/timing.go
@@ -0,0 +1,66 @@
+package discovery
+
+import "time"
+
+// timing is how long a client waits for what.
+//
+// Where lists are asked for, the calls of a fleet add up at discovery, and pauses keep it from being overbooked. Where
+// they are pushed, an agent on the sender's own machine answers at once and at no cost with what it has been sent, and
+// what it has counts as known to the sender whether or not it was asked: every pause has to stay well under the drain's
+// grace, and an agent that says nothing is one that has lost discovery.
+type timing struct {
+	firstPause   time.Duration // longest pause before the first call of a first start
+	busyPause    time.Duration // mean pause after news from a discovery that is busy; 0 for none
+	hold         time.Duration // how long a watch may wait for news
+	answer       time.Duration // until an answer begins that need not wait for news
+	accepted     time.Duration // a watch that is out for longer was accepted and waits for news
+	stall        time.Duration // between the bytes of an answer that has begun
+	backoffFirst time.Duration // mean pause after an answer that can't be used, doubled with each ...
+	backoffMost  time.Duration // ... up to this
+	bounded      bool          // an answer may take no longer than one of twice the known list's size does
+}
+
+// Of the drain's grace, where lists are pushed, at most and at least.
+const (
+	answerPart  = 0.3 // for an answer that need not wait
+	answerMost  = 300 * time.Millisecond
+	answerLeast = 50 * time.Millisecond
+
+	acceptedPart  = 0.1 // after which a watch is taken for accepted
+	acceptedMost  = 100 * time.Millisecond
+	acceptedLeast = 20 * time.Millisecond
+
+	backoffPart  = 0.15 // for a pause after an answer that can't be used
+	backoffMost  = 150 * time.Millisecond
+	backoffLeast = 20 * time.Millisecond
+)
+
+// partOf is a part of a span within bounds.
+func partOf(span time.Duration, part float64, least, most time.Duration) time.Duration {
+	return min(max(time.Duration(float64(span)*part), least), most)
+}
+
+// pushedTiming is for lists that an agent pushes; grace is how long what begins to drain may still be called.
+func pushedTiming(grace time.Duration) timing {
+	backoff := partOf(grace, backoffPart, backoffLeast, backoffMost)
+	answer := partOf(grace, answerPart, answerLeast, answerMost)
+	return timing{hold: watchHold, answer: answer, stall: answer,
+		accepted:     partOf(grace, acceptedPart, acceptedLeast, acceptedMost),
+		backoffFirst: backoff / 4, backoffMost: backoff, bounded: true}
+}
+
+// requestedTiming is for lists that are asked for by so many senders.
+func requestedTiming(senders int, grace time.Duration) timing {
+	t := timing{hold: watchHold, answer: listTime, accepted: accepted, stall: silence, backoffFirst: badFirst, backoffMost: badLongest}
+	if senders < SpreadFrom {
+		return t
+	}
+	many := time.Duration(min(senders, 1000))
+	t.hold, t.busyPause, t.firstPause = spreadHold, min(many*spreadEach, spreadMost), min(many*spreadEach, firstMost)
+	if many*firstEach > firstMost {
+		// If discovery took one call after the other, no spread would do. It is as the protocol has it, with an
+		// answer at once, and what begins to drain after the start may still be called for the grace.
+		t.firstPause = min(t.firstPause, grace)
+	}
+	return t
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -115,11 +115,15 @@
 
 // New makes a sender and replays its journal, unless another process owns it: then Run takes over from that one.
 func New(cfg *Config, log *slog.Logger) (*Node, error) {
+	if log == nil {
+		log = slog.New(slog.DiscardHandler)
+	}
 	for _, doubt := range cfg.Doubts {
 		log.Warn("configuration", "err", doubt)
 	}
 	set := &cfg.Deploy.Settings
-	if set.Senders >= discovery.SpreadFrom { // with pauses between its calls for the list
+	set.Pushed = !set.OnRequest
+	if set.OnRequest && set.Senders >= discovery.SpreadFrom { // with pauses between its calls for the list
 		set.ListAge = micros(discovery.ListAge) + set.DrainGrace
 	}
 	sockets := descriptorLimit(cfg.Limits.Sockets)
@@ -174,7 +178,7 @@
 // discoveryClient is the client that watches the list for this sender.
 func (n *Node) discoveryClient() *discovery.Client {
 	set := &n.cfg.Deploy.Settings
-	return discovery.NewClient(discovery.Config{Addr: n.cfg.Discovery, Senders: set.Senders, Grace: span(set.DrainGrace),
+	return discovery.NewClient(discovery.Config{Addr: n.cfg.Discovery, Senders: set.Senders, Pushed: set.Pushed, Grace: span(set.DrainGrace),
 		Seed: n.cfg.Seed, MaxBytes: n.cfg.Limits.listBytes(), Directory: n.dir, Store: n.saved, Log: n.log}, n.events)
 }
 
@@ -473,11 +477,12 @@
 }
 
 // resume hands the module what the journal holds, with what became of it so far. At a restart, also one with nothing
-// in its journal, what changed meanwhile is not in the list of the configuration.
+// in its journal, what changed meanwhile is not in the list of the configuration; where an agent has the list, nor is it
+// at any other start.
 func (n *Node) resume() {
 	known, listed := n.beginList()
 	if listed {
-		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.Entries(), Old: n.again})
+		n.next = append(n.next, logic.Endpoints{Form: logic.ListCached, Entries: n.dir.Entries(), Old: n.again || n.cfg.Deploy.Settings.Pushed})
 	}
 	n.disc.Begin(known, n.again)
 	for _, id := range n.journal.TakenOut() {
@@ -648,15 +653,22 @@
 func (n *Node) list(ev discovery.Event) {
 	if ev.Err != nil {
 		n.watching = false
-		n.next = append(n.next, logic.Endpoints{Form: logic.ListFailed})
+		n.next = append(n.next, logic.Endpoints{Form: logic.ListFailed, Silent: ev.Silent})
 		if n.disc.IsMoved() { // meanwhile, so the failure was not the new address's
 			n.next = append(n.next, logic.Moved{})
 		}
 		return
 	}
-	if ev.Watched {
+	switch {
+	case ev.Watched:
 		n.next = append(n.next, logic.Endpoints{Form: logic.ListWatched})
 		return
+	case ev.Begun:
+		n.next = append(n.next, logic.Endpoints{Form: logic.ListBegun})
+		return
+	case ev.Unusable:
+		n.next = append(n.next, logic.Endpoints{Form: logic.ListUnusable})
+		return
 	}
 	u := &ev.Update
 	n.generation = u.Generation
--- a/logic/handover.go
+++ b/logic/handover.go
@@ -9,27 +9,29 @@
 // Saved is the whole state of a Sender, for another one that goes on in its place. Times are those of the Sender:
 // who goes on keeps its clock.
 type Saved struct {
-	Now       Micros
-	Seq, Logs int
-	Stray     float64
-	MeanWorth float64
-	Turned    map[int]float64
-	Room      map[int]int
-	AskAt     Micros
-	AskGap    Micros
-	ListAt    Micros
-	Watched   bool
-	Old       bool // the list is as saved before the start
-	Banned    []EndpointID
-	ByClass   []savedHist
-	Usage     []savedUsage
-	Dests     []savedDest     `json:",omitempty"` // without them the state's tables come in rows
-	Endpoints []savedEndpoint `json:",omitempty"`
-	Sizes     []int           `json:",omitempty"` // then: how many there are of both
-	Messages  []savedMsg
-	Held      []string // messages not over, in order of arrival
-	Attempts  []savedAttempt
-	Keys      map[string]savedLine
+	Now        Micros
+	Seq, Logs  int
+	Stray      float64
+	MeanWorth  float64
+	Turned     map[int]float64
+	Room       map[int]int
+	AskAt      Micros
+	AskGap     Micros
+	ListAt     Micros
+	Watched    bool
+	Silent     bool   `json:",omitempty"` // as Sender.silent
+	UnusableAt Micros `json:",omitempty"` // as Sender.unusableAt
+	Old        bool   // the list is as saved before the start
+	Banned     []EndpointID
+	ByClass    []savedHist
+	Usage      []savedUsage
+	Dests      []savedDest     `json:",omitempty"` // without them the state's tables come in rows
+	Endpoints  []savedEndpoint `json:",omitempty"`
+	Sizes      []int           `json:",omitempty"` // then: how many there are of both
+	Messages   []savedMsg
+	Held       []string // messages not over, in order of arrival
+	Attempts   []savedAttempt
+	Keys       map[string]savedLine
 }
 
 type savedHist struct {
@@ -155,7 +157,7 @@
 
 func (s *Sender) save(tables bool) Saved {
 	out := Saved{Now: s.now, Seq: s.seq, Logs: s.logs, Stray: s.stray, MeanWorth: s.meanWorth, Turned: s.turned, Room: s.room,
-		AskAt: s.askAt, AskGap: s.askGap, ListAt: s.listAt, Watched: s.watched, Old: s.saved, Banned: slices.Sorted(maps.Keys(s.banned)), Keys: map[string]savedLine{}}
+		AskAt: s.askAt, AskGap: s.askGap, ListAt: s.listAt, Watched: s.watched, Old: s.saved, Silent: s.silent, UnusableAt: s.unusableAt, Banned: slices.Sorted(maps.Keys(s.banned)), Keys: map[string]savedLine{}}
 	for i := range s.byClass {
 		out.ByClass = append(out.ByClass, s.byClass[i].save())
 	}
@@ -241,6 +243,7 @@
 func (s *Sender) resumeRest(x Saved) {
 	s.now, s.seq, s.logs, s.stray, s.meanWorth = x.Now, x.Seq, x.Logs, x.Stray, x.MeanWorth
 	s.askAt, s.askGap, s.listAt, s.watched, s.saved = x.AskAt, x.AskGap, x.ListAt, x.Watched, x.Old
+	s.silent, s.unusableAt = x.Silent, x.UnusableAt
 	maps.Copy(s.turned, x.Turned)
 	maps.Copy(s.room, x.Room)
 	for _, id := range x.Banned {
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -73,14 +73,6 @@
 	lossAhead  = Second     // ours: loss of worth within this sets who goes first
 	holdHalf   = 0.7        // ours: share of the hold above which messages that the pace cannot send in time end
 	holdFull   = 0.9        // ours: share of the hold above which the least worthy are refused
-	staleMost  = 4 * Second // ours: nothing is sent on an old list for so long
-	savedMost  = 300_000    // ours: nor on a saved one: the first answer comes at once if discovery has time
-	askGap     = 50_000     // ours: first pause before the list is asked for again; what changes ...
-	askMost    = Second / 2 // ours: ... meanwhile counts as told, so the longest is under a drain's grace
-	askEach    = 25_000     // ours: the first pause for each of many senders, whose calls add up
-	askApart   = 4 * Second // ours: their longest: what changes counts as told after 6 s, and a call may hang 2
-	askBroke   = Second     // ours: and after a watch that failed, which may have been silent since it began
-	askAnswer  = 100_000    // ours: for the answer
 	logMost    = 200        // ours: log lines in a life
 	tableLeast = 256        // ours: entries that a table may hold before any is dropped
 	sweepStep  = 2          // ours: destinations looked at with each message for what has aged
@@ -128,58 +120,6 @@
 
 // ---- Endpoint list -------------------------------------------------------------------
 
-func (s *Sender) list(ev Endpoints) {
-	broke := ev.Form == ListFailed && s.watched
-	if ev.Form != ListFailed || broke {
-		s.listAt = s.now
-	}
-	s.saved = ev.Form == ListCached && ev.Old
-	if s.watched = ev.Form == ListWatched; s.watched {
-		return
-	}
-	if ev.Form == ListFailed {
-		// Asked in vain or subscription broken: ask again, later each time.
-		first, most := s.askSpan()
-		gap := max(s.askGap, first)
-		if s.many { // each at a time of its own, in time for what counts as told meanwhile
-			longest := most
-			if broke {
-				longest = askBroke
-			}
-			gap = min(gap*3/2, max(longest+s.set.DrainGrace-askAnswer, askGap))
-			gap -= Micros(s.rng.Int64N(int64(gap/2 + 1)))
-		}
-		s.askAt = s.now + gap
-		s.askGap = min(2*max(s.askGap, first), most)
-		return
-	}
-	if s.askAt == never {
-		s.askGap = askGap
-	}
-	if ev.Form != ListDelta {
-		s.keepOnly(ev.Entries)
-	}
-	for rows := s.unlistAll(ev.Entries); len(rows) > 0; rows = s.unlistAll(rows[1:]) {
-		s.entry(rows[0])
-	}
-}
-
-// askSpan is the first and the longest pause before the list is asked for again. Among many senders calls
-// that are turned away and come again soon keep discovery overbooked.
-func (s *Sender) askSpan() (first, most Micros) {
-	if !s.many {
-		return askGap, askMost
-	}
-	return min(askEach*Micros(s.set.Senders), askApart), askApart
-}
-
-// moved ends the pause before discovery is asked again: what it has to tell counts as told soon after a move.
-func (s *Sender) moved() {
-	if s.askAt != never {
-		s.askAt, s.askGap = s.now, askGap
-	}
-}
-
 func (s *Sender) entry(row Entry) {
 	e := s.eps[row.Endpoint]
 	if row.State == Gone {
@@ -244,19 +184,6 @@
 	}
 }
 
-// subscribe asks for the list where it comes only on request.
-func (s *Sender) subscribe() {
-	if s.askAt == never {
-		return
-	}
-	if s.now < s.askAt {
-		s.at(s.askAt)
-		return
-	}
-	s.do(Listen{})
-	s.askAt = never
-}
-
 // ---- Queue ---------------------------------------------------------------------------
 
 // rate orders the queue: the worth that waiting a little longer would lose, for each second of a slot.
@@ -409,8 +336,8 @@
 		return false, never
 	case s.banned[e.id]: // an operator has taken it out
 		return false, never
-	case s.staleTill(m) > s.now: // e may drain by now
-		return false, s.staleTill(m)
+	case s.unconfirmedTill(m) > s.now: // e may drain by now
+		return false, s.unconfirmedTill(m)
 	case s.now < max(e.lane.until, m.rest): // told wait
 		return false, max(e.lane.until, m.rest)
 	case s.set.MaxTries > 0 && m.tries >= s.set.MaxTries:
@@ -473,28 +400,6 @@
 	return min(m.chance, m.deadline-2*s.usual(m)) // before the median gate shuts
 }
 
-// staleTill is the time until which nothing is sent since the list is old: what changes counts as told some
-// time later, even if nothing came, and so does what changed before a start on a saved list. It ends with the
-// next news, or after a while: discovery may be down long. What a restart found with little time left waits
-// for the first answer for half of that only.
-func (s *Sender) staleTill(m *msg) Micros {
-	if saved := s.savedTill(m); s.saved && s.set.ListAge > 0 && s.now < saved {
-		return saved
-	}
-	old := s.listAt + s.set.ListAge
-	if s.set.ListAge <= 0 || s.watched || s.now < old || s.now >= old+staleMost {
-		return longAgo
-	}
-	return old + staleMost
-}
-
-func (s *Sender) savedTill(m *msg) Micros {
-	if m.untried {
-		return min(s.listAt+savedMost, m.half)
-	}
-	return s.listAt + savedMost
-}
-
 // lasts is the time that an attempt needs before this sender stops. One that is cut off by the stop is resent
 // if its class allows it, but an unsafe one is lost.
 func (s *Sender) lasts(m *msg, e *endpoint) Micros {
--- a/logic/state.go
+++ b/logic/state.go
@@ -134,40 +134,43 @@
 
 // Sender decides for one sender. Make it with New.
 type Sender struct {
-	set       Settings
-	rng       *rand.Rand
-	now       Micros
-	step      int
-	out       []Action
-	eps       map[EndpointID]*endpoint
-	banned    map[EndpointID]bool // taken out by an operator
-	dests     map[int64]*dest
-	order     []*dest // dests, in the order in which they became known
-	msgs      map[string]*msg
-	held      []*msg // messages not over, in order of arrival
-	flying    []*attempt
-	busy      int // slots in use
-	seq       int
-	byClass   []hist
-	usage     []usage // by tenant
-	keys      map[string]*keyLine
-	most      [3]int // eps, dests and keys when they are next looked through
-	swept     int    // place in order of the last destination that sweep looked at
-	wake      Micros // when something is next to be done
-	timer     Micros // when the last timer set goes off; 0 if none is out
-	askAt     Micros // when to ask for the list; never if asked
-	askGap    Micros
-	listAt    Micros // when the list was told last
-	watched   bool   // and what changes since is told at once
-	saved     bool   // it is as saved before the start
-	closeAt   Micros // when this sender stops; 0 if it does not
-	logs      int
-	many      bool            // senders
-	aim       Micros          // the shortest of the classes
-	stray     float64         // share of calls that fail by chance, at endpoints that are not out
-	turned    map[int]float64 // by kind, share of calls turned away
-	room      map[int]int     // by kind, new connections let in since one was refused
-	meanWorth float64         // of messages that came
+	set     Settings
+	rng     *rand.Rand
+	now     Micros
+	step    int
+	out     []Action
+	eps     map[EndpointID]*endpoint
+	banned  map[EndpointID]bool // taken out by an operator
+	dests   map[int64]*dest
+	order   []*dest // dests, in the order in which they became known
+	msgs    map[string]*msg
+	held    []*msg // messages not over, in order of arrival
+	flying  []*attempt
+	busy    int // slots in use
+	seq     int
+	byClass []hist
+	usage   []usage // by tenant
+	keys    map[string]*keyLine
+	most    [3]int // eps, dests and keys when they are next looked through
+	swept   int    // place in order of the last destination that sweep looked at
+	wake    Micros // when something is next to be done
+	timer   Micros // when the last timer set goes off; 0 if none is out
+	askAt   Micros // when to ask for the list; never if asked
+	askGap  Micros
+	listAt  Micros // when the list was told last
+	watched bool   // and what changes since is told at once
+	saved   bool   // it is as saved before the start
+	silent  bool   // pushed lists: the agent was asked since and said nothing
+	// when an answer first came since that could not be used; 0 if none did
+	unusableAt Micros
+	closeAt    Micros // when this sender stops; 0 if it does not
+	logs       int
+	many       bool            // senders
+	aim        Micros          // the shortest of the classes
+	stray      float64         // share of calls that fail by chance, at endpoints that are not out
+	turned     map[int]float64 // by kind, share of calls turned away
+	room       map[int]int     // by kind, new connections let in since one was refused
+	meanWorth  float64         // of messages that came
 }
 
 // hist is a discounted latency histogram.
--- a/logic/types.go
+++ b/logic/types.go
@@ -78,6 +78,7 @@
 	MaxTries   int // attempts for a message; 0 for no limit
 	Tick       Micros
 	OnRequest  bool // the endpoint list comes only when asked for
+	Pushed     bool // an agent on this machine has the list, and what it has counts as known to the sender
 	Probing    bool
 	MayCancel  bool
 	RetryAfter bool // clients are given advice on when to come again
@@ -141,11 +142,13 @@
 
 // The forms of list news.
 const (
-	ListDelta   ListForm = iota // changes only
-	ListFull                    // the whole list; what is not in it is gone
-	ListCached                  // the whole list as last saved, maybe old
-	ListFailed                  // a request for the list failed; the old one stands
-	ListWatched                 // no news: the list is as it was, and what changes is told at once from now on
+	ListDelta    ListForm = iota // changes only
+	ListFull                     // the whole list; what is not in it is gone
+	ListCached                   // the whole list as last saved, maybe old
+	ListFailed                   // a request for the list failed; the old one stands
+	ListBegun                    // an answer has begun to come, which takes its time
+	ListUnusable                 // an answer came that can't be used; it is asked for again
+	ListWatched                  // no news: the list is as it was, and what changes is told at once from now on
 )
 
 // Endpoints is news of the endpoint list.
@@ -153,6 +156,7 @@
 	Form    ListForm
 	Entries []Entry
 	Old     bool // ListCached: changes may have been missed; news of them is on its way
+	Silent  bool // ListFailed: nobody answered
 }
 
 // Call is a new message, or one that this sender had before a restart.
