Guard sends, ends, starts and closed clients by their rules at the moment of acting, and count breaches

What was decided may have changed when it is done: a connection that came up up to a second later was written on whatever the lease of the list had become, and a client that made room was closed over a request that had just come whole.

Connections of clients are ended by their readers alone: whole requests that have come, also past a deadline, in the reader's buffer or the socket's, are answered or refused before the close, at an eviction, idle close, shutdown and limit; unread bytes no longer reset a close over an answer.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -28,6 +28,7 @@
 	maxIDLen     = 128
 	stallTime    = 300 * time.Millisecond // a peer that sends nothing for so long, its first request not whole, stands still
 	acceptPause  = 5 * time.Millisecond
+	closeLinger  = 20 * time.Millisecond // bytes that come while a connection is closed are read for so long
 	answerOK     = "+OK\r\n"
 	answerFailed = "-ERR failed\r\n"
 )
@@ -43,6 +44,7 @@
 	cfg     *Config
 	log     *slog.Logger
 	events  chan<- any
+	guard   *guard
 	most    int // connections
 	mu      sync.Mutex
 	fds     descriptors
@@ -80,6 +82,7 @@
 	whole  bool      // all of it has come: its answer is due
 	evict  bool      // closed to make room
 	heard  time.Time // when the last byte came; zero if none has
+	late   time.Time // when bytes were first read past their deadline; zero if none were
 }
 
 // rank says what it costs to close a connection for another, least first: one that has stood idle or silent for as long
@@ -110,8 +113,13 @@
 	of      *standing
 }
 
+// Read reads what has come, also where the deadline is over: a request whose last byte is there is owed its answer.
 func (h hearing) Read(b []byte) (int, error) {
 	n, err := h.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && h.clients.mayReadOn(h.Conn, h.of) {
+		h.Conn.SetReadDeadline(time.Now().Add(acceptPause))
+		n, err = h.Conn.Read(b)
+	}
 	if n > 0 {
 		h.clients.mu.Lock()
 		h.of.heard = time.Now()
@@ -120,6 +128,20 @@
 	return n, err
 }
 
+// mayReadOn says whether bytes have come that may be read past a deadline, for a moment in all. At a handover they are
+// left to whoever goes on.
+func (c *clients) mayReadOn(conn net.Conn, x *standing) bool {
+	if alive, data := peek(conn); !alive || !data {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if x.late.IsZero() {
+		x.late = time.Now()
+	}
+	return !c.frozen && time.Since(x.late) < lastRequest
+}
+
 func newClients(cfg *Config, log *slog.Logger, events chan<- any) *clients {
 	most := 256
 	if cfg.Limits.Sockets > 0 {
@@ -128,7 +150,8 @@
 	if m := cfg.Limits.MemoryMB; m > 0 { // each may hold the whole of a request, read or half read
 		most = min(most, max(int(m*(1<<20)*clientPart)/(maxBulk+maxRest), 16))
 	}
-	c := &clients{cfg: cfg, log: log, events: events, most: most, conns: map[net.Conn]*standing{}}
+	c := &clients{cfg: cfg, log: log, events: events, guard: newGuard(log), most: most,
+		conns: map[net.Conn]*standing{}}
 	c.ended = sync.NewCond(&c.mu)
 	return c
 }
@@ -173,7 +196,7 @@
 		if c.handle(conn, first) {
 			return // parked
 		}
-		conn.Close()
+		endClient(conn)
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		if c.conns[conn] == nil { // it made room
@@ -342,8 +365,9 @@
 }
 
 // makeRoom closes the connection that is the least loss, up to a rank, of several the one that has stood so longest. Its place is free
-// at once, or a burst of new ones is turned away while the readers of those that make room still end. One that may be
-// parked for a handover is left to its reader; until that ends the table is one over. The caller holds c.mu.
+// at once, or a burst of new ones is turned away while the readers of those that make room still end. Its reader closes
+// it, once it has answered what has come whole. One that may be parked for a handover keeps its place until then; the
+// table is one over meanwhile. The caller holds c.mu.
 func (c *clients) makeRoom(dearest int) bool {
 	now := time.Now()
 	var worst net.Conn
@@ -361,12 +385,11 @@
 	c.log.Debug("client evicted", "peer", worst.RemoteAddr(), "rank", least, "since", since)
 	c.conns[worst].evict = true
 	c.evicted++
+	worst.SetReadDeadline(time.Unix(1, 0))
 	if c.frozen {
-		worst.SetReadDeadline(time.Unix(1, 0))
 		return true
 	}
 	delete(c.conns, worst)
-	worst.Close()
 	c.ending++
 	return true
 }
@@ -473,6 +496,18 @@
 	select {
 	case <-done:
 	case <-ctx.Done():
+		c.countUnanswered()
+	}
+}
+
+// countUnanswered notes requests that were read and have no answer at the end of the process.
+func (c *clients) countUnanswered() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn, x := range c.conns {
+		if x.whole {
+			c.guard.violation(ruleAnswer, "peer", conn.RemoteAddr())
+		}
 	}
 }
 
@@ -496,9 +531,75 @@
 	return err
 }
 
-// handle serves conn until it ends or, which it says, is parked for a handover.
+// handle serves conn until it ends or, which it says, is parked for a handover. Whatever ends it, requests that have come
+// whole by then have their answer.
 func (c *clients) handle(conn net.Conn, first time.Time) (parked bool) {
 	r := bufio.NewReader(c.hear(conn))
+	parked, usable := c.serveRequests(conn, r, first)
+	if !parked && usable {
+		c.refuseRest(conn, r)
+	}
+	return parked
+}
+
+// refuseRest turns away what has come on a connection that is about to be closed: handing it in again is harmless. It
+// takes a moment at most.
+func (c *clients) refuseRest(conn net.Conn, r *bufio.Reader) {
+	for by := time.Now().Add(lastRequest); time.Now().Before(by); {
+		if r.Buffered() == 0 {
+			if alive, data := peek(conn); !alive || !data {
+				return
+			}
+		}
+		conn.SetReadDeadline(by)
+		args, err := readCommand(r)
+		if err != nil {
+			return
+		}
+		if !c.write(conn, c.turnAway(args)) {
+			return
+		}
+	}
+}
+
+// turnAway is the answer to a request that came too late to be carried out.
+func (c *clients) turnAway(args [][]byte) string {
+	if strings.EqualFold(string(args[0]), "MSG.PUT") {
+		return busy(0)
+	}
+	return c.answer(args)
+}
+
+// write sends an answer, false if it could not be sent.
+func (c *clients) write(conn net.Conn, answer string) bool {
+	conn.SetWriteDeadline(time.Now().Add(answerTime))
+	_, err := io.WriteString(conn, answer)
+	if err != nil {
+		c.log.Debug("client closed", "peer", conn.RemoteAddr(), "why", "answer not written", "err", err)
+	}
+	return err == nil
+}
+
+// endClient closes a connection. A close over unread bytes would reset it, and an answer that is still on its way would
+// go with it.
+func endClient(conn net.Conn) {
+	if t, ok := conn.(*net.TCPConn); ok && t.CloseWrite() == nil {
+		var rest [4096]byte
+		for by := time.Now().Add(closeLinger); time.Now().Before(by); {
+			if alive, data := peek(conn); !alive || !data {
+				break
+			}
+			conn.SetReadDeadline(by)
+			if _, err := conn.Read(rest[:]); err != nil {
+				break
+			}
+		}
+	}
+	conn.Close()
+}
+
+// serveRequests answers requests until the connection ends, which usable says it need not have, or is parked.
+func (c *clients) serveRequests(conn net.Conn, r *bufio.Reader, first time.Time) (parked, usable bool) {
 	idle := first
 	if first.IsZero() {
 		idle = time.Now().Add(idleClient)
@@ -506,13 +607,13 @@
 	for {
 		if c.done(r.Buffered()) || !c.await(conn, false, idle) {
 			c.log.Debug("client closed", "peer", conn.RemoteAddr(), "why", "shutdown or made room", "buffered", r.Buffered())
-			return false
+			return false, true
 		}
 		if err := c.waitRequest(conn, r); err != nil {
 			if errors.Is(err, os.ErrDeadlineExceeded) {
 				parked, again := c.park(conn)
 				if parked {
-					return true
+					return true, true
 				}
 				if again {
 					continue
@@ -522,7 +623,7 @@
 				c.tooLate()
 			}
 			c.log.Debug("client closed", "peer", conn.RemoteAddr(), "why", "no request", "err", err)
-			return false
+			return false, errors.Is(err, os.ErrDeadlineExceeded)
 		}
 		by := time.Now().Add(requestTime)
 		if !first.IsZero() {
@@ -532,29 +633,25 @@
 			by = time.Now().Add(lastRequest)
 		}
 		if !c.await(conn, true, by) {
-			return false
+			return false, true
 		}
 		args, err := readCommand(r)
 		if err != nil {
 			switch {
 			case errors.Is(err, errProtocol):
-				conn.SetWriteDeadline(time.Now().Add(answerTime))
-				fmt.Fprintf(conn, "-ERR %v\r\n", err)
+				c.write(conn, fmt.Sprintf("-ERR %v\r\n", err))
 			case errors.Is(err, os.ErrDeadlineExceeded):
 				c.tooLate()
 			}
 			c.log.Debug("client closed", "peer", conn.RemoteAddr(), "why", "bad request", "err", err)
-			return false
+			return false, false
 		}
 		if !c.came(conn) {
 			c.log.Debug("client closed", "peer", conn.RemoteAddr(), "why", "made room under a request")
-			return false
+			return false, c.write(conn, c.turnAway(args))
 		}
-		answer := c.answer(args)
-		conn.SetWriteDeadline(time.Now().Add(answerTime))
-		if _, err := conn.Write([]byte(answer)); err != nil {
-			c.log.Debug("client closed", "peer", conn.RemoteAddr(), "why", "answer not written", "err", err)
-			return false
+		if !c.write(conn, c.answer(args)) {
+			return false, false
 		}
 		c.served(conn)
 		first, idle = time.Time{}, time.Now().Add(idleClient)
--- /dev/null
+++ b/internal/node/guard.go
@@ -0,0 +1,214 @@
+package node
+
+import (
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"crossdeal/internal/discovery"
+	"crossdeal/logic"
+)
+
+// rule is an invariant of the sender. The module decides so that none is broken; the guard checks again at the moment of
+// acting, with what is known then.
+type rule string
+
+// The rules that the guard checks.
+const (
+	ruleDrain       rule = "drain"       // nothing to an endpoint that is not up, or that an operator has taken out
+	ruleUnconfirmed rule = "unconfirmed" // nothing on a list that may be old by now
+	ruleWait        rule = "wait"        // nothing to where a wait was asked for
+	ruleDestination rule = "destination" // only endpoints of the message's destination
+	ruleOnce        rule = "once"        // one attempt of a message at a time, and none once it is over
+	ruleAttempts    rule = "attempts"    // no more attempts than the settings allow
+	ruleRepeat      rule = "repeat"      // what may have run is repeated only as its class allows
+	ruleDeadline    rule = "deadline"    // nothing after a message's time
+	ruleAnswer      rule = "answer"      // a request that was read has its answer before its connection is closed
+	ruleEnd         rule = "end"         // a message ends once
+	ruleStart       rule = "start"       // what the journal holds at a start is held, or its end is told
+)
+
+const (
+	waitSlack     = 100 * time.Millisecond // calls that cross the answer with a wait are let through
+	violationLogs = 20                     // lines in a life
+)
+
+// guard counts what was about to break a rule, and what was stopped since things had changed since the decision. A
+// violation is a fault of this program: it is never expected to count any.
+type guard struct {
+	log      *slog.Logger
+	mu       sync.Mutex
+	broken   map[rule]int
+	withheld map[rule]int
+	logged   int
+
+	// What follows belongs to the loop.
+	waits map[waitTarget]toldWait
+}
+
+// waitTarget is where a wait holds: a destination, or one endpoint of it where endpoints are routes apart.
+type waitTarget struct {
+	dest     int64
+	endpoint logic.EndpointID // 0: all of the destination
+}
+
+// toldWait is a wait that an answer asked for.
+type toldWait struct {
+	since time.Time
+	until time.Time
+}
+
+func newGuard(log *slog.Logger) *guard {
+	return &guard{log: log, broken: map[rule]int{}, withheld: map[rule]int{}, waits: map[waitTarget]toldWait{}}
+}
+
+// violation counts a rule that was about to be broken, or was.
+func (g *guard) violation(r rule, attrs ...any) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.broken[r]++
+	if g.logged++; g.logged <= violationLogs {
+		g.log.Error("rule broken", append([]any{"rule", string(r)}, attrs...)...)
+	}
+}
+
+// hold counts an action that was right when it was decided and is not any more.
+func (g *guard) hold(r rule) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.withheld[r]++
+}
+
+// violations is how many there were in this process's life.
+func (g *guard) violations() (count int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, n := range g.broken {
+		count += n
+	}
+	return count
+}
+
+// report returns what was counted so far, as names and counts in order of name.
+func (g *guard) report() []any {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var out []any
+	for _, r := range slices.Sorted(maps.Keys(g.broken)) {
+		out = append(out, "broken_"+string(r), g.broken[r])
+	}
+	for _, r := range slices.Sorted(maps.Keys(g.withheld)) {
+		out = append(out, "withheld_"+string(r), g.withheld[r])
+	}
+	return out
+}
+
+// wait notes a wait that an answer asked for.
+func (g *guard) wait(at waitTarget, span time.Duration, now time.Time) {
+	until := now.Add(span)
+	if until.After(g.waits[at].until) {
+		g.waits[at] = toldWait{since: now, until: until}
+	}
+}
+
+// waiting says whether a wait holds somewhere; those that are over are dropped.
+func (g *guard) waiting(at waitTarget, now time.Time) bool {
+	w, ok := g.waits[at]
+	if ok && !now.Before(w.until) {
+		delete(g.waits, at)
+		return false
+	}
+	return ok && now.Sub(w.since) > waitSlack && w.until.Sub(now) > waitSlack
+}
+
+// waitTargetOf is where a wait of an endpoint holds.
+func (n *Node) waitTargetOf(ep logic.EndpointID, to discovery.Target) waitTarget {
+	if kinds := n.cfg.Deploy.Settings.Kinds; to.Kind >= 0 && to.Kind < len(kinds) && kinds[to.Kind].Apart {
+		return waitTarget{to.Dest, ep}
+	}
+	return waitTarget{dest: to.Dest}
+}
+
+// checkSend says which rule a call of h to an endpoint would break now; empty if none.
+func (n *Node) checkSend(h *held, ep logic.EndpointID, now time.Time) rule {
+	set := &n.cfg.Deploy.Settings
+	to := n.target(ep)
+	switch {
+	case h.over:
+		return ruleOnce
+	case to.Lifecycle != "" && to.Lifecycle != "up" || n.journal.out[n.dir.Name(ep)]:
+		return ruleDrain
+	case to.Dest != h.msg.Dest:
+		return ruleDestination
+	case !now.Before(time.UnixMicro(h.msg.Deadline)):
+		return ruleDeadline
+	case n.guard.waiting(n.waitTargetOf(ep, to), now):
+		return ruleWait
+	case n.mayNotRepeat(h.msg, now):
+		return ruleRepeat
+	case n.sender.Unconfirmed(micros(time.Since(n.start))):
+		return ruleUnconfirmed
+	case set.MaxTries > 0 && h.tries > set.MaxTries:
+		return ruleAttempts
+	}
+	return ""
+}
+
+// mayNotRepeat says whether a message may have run and is not to be sent again.
+func (n *Node) mayNotRepeat(m *Message, now time.Time) bool {
+	e := n.journal.Entry(m.ID)
+	if e == nil || !e.MayRun {
+		return false
+	}
+	class, ok := n.cfg.Classes[m.Class]
+	if !ok {
+		return true
+	}
+	switch c := n.cfg.Deploy.Settings.Classes[class]; c.Effect {
+	case logic.Unsafe:
+		return true
+	case logic.Keyed:
+		return now.After(time.UnixMicro(e.FirstMay).Add(span(c.Window)))
+	}
+	return false
+}
+
+// permitCall checks a call that the module has decided on, before anything is written of it. A breach is a fault of this
+// program, but for a list that has become old in the moment between.
+func (n *Node) permitCall(id string, ep logic.EndpointID) bool {
+	h := n.held[id]
+	if h == nil {
+		return true // never accepted: callOut answers the module
+	}
+	broken := n.checkSend(h, ep, time.Now())
+	switch {
+	case broken == "" && h.stop != nil:
+		broken = ruleOnce
+	case broken == "" && n.cfg.Deploy.Settings.MaxTries > 0 && h.tries >= n.cfg.Deploy.Settings.MaxTries:
+		broken = ruleAttempts
+	}
+	switch broken {
+	case "":
+		return true
+	case ruleUnconfirmed, ruleDeadline:
+		n.guard.hold(broken)
+	default:
+		n.guard.violation(broken, "id", id, "endpoint", n.dir.Name(ep), "attempt", h.tries, "generation", n.generation)
+	}
+	return false
+}
+
+// permitWrite checks a call again once its connection is up: what it was decided on may have changed meanwhile.
+func (n *Node) permitWrite(c *call) bool {
+	h := n.held[c.id]
+	if h == nil || h.call != c || h.over || c.state.Load() != callConnecting {
+		return false
+	}
+	if broken := n.checkSend(h, c.ep, time.Now()); broken != "" {
+		n.guard.hold(broken)
+		return false
+	}
+	return true
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -82,6 +82,7 @@
 	sender     *logic.Sender
 	caller     *caller
 	trace      *tracer
+	guard      *guard
 	dir        *discovery.Directory
 	saved      *discovery.Store
 	disc       watcher
@@ -148,7 +149,7 @@
 	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, clients: clients, door: d, successors: make(chan successor), moves: make(chan struct{}, 1), writes: make(chan leave), dir: discovery.NewDirectory(cfg.Deploy.Zones, set.Kinds),
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
 		events: events, orders: orders, ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
-	n.trace = newTracer(log, n.dir)
+	n.trace, n.guard = newTracer(log, n.dir), n.clients.guard
 	log.Info("settings", "on_request", set.OnRequest, "senders", set.Senders, "drain_grace", span(set.DrainGrace).String(),
 		"slots", set.Slots, "max_open", set.MaxOpen, "known", len(cfg.Known.Instances), "generation", cfg.Known.Generation)
 	n.saved = discovery.OpenStore(cfg.StateDir, cfg.Limits.storeBytes(), log)
@@ -375,7 +376,7 @@
 	quiet := false // shutting down, and no client is left
 	for {
 		if quiet && n.open == 0 && len(n.journal.entries) == 0 {
-			n.log.Info("stopped", "owed", 0)
+			n.log.Info("stopped", "owed", 0, "violations", n.guard.violations())
 			return nil
 		}
 		select {
@@ -407,7 +408,7 @@
 			continue
 		case <-stopped:
 			// What is still out stays in the journal as it is.
-			n.log.Info("stopped", "owed", len(n.journal.entries))
+			n.log.Info("stopped", "owed", len(n.journal.entries), "violations", n.guard.violations())
 			return nil
 		}
 		for more := true; more; {
@@ -438,8 +439,7 @@
 
 // allow lets a call be written once the journal has it, unless it has been called off meanwhile.
 func (n *Node) allow(x leave) {
-	h := n.held[x.call.id]
-	if h == nil || h.call != x.call || h.over || x.call.state.Load() != callConnecting {
+	if !n.permitWrite(x.call) {
 		n.trace.withheld(x.call)
 		x.answer <- false
 		return
@@ -472,7 +472,8 @@
 func (n *Node) tally() {
 	if counts := n.caller.report(); len(counts) > 0 {
 		counts = append(counts, "idle", n.caller.kept(), "open", n.open, "owed", len(n.journal.entries))
-		n.log.Info("calls", append(counts, n.clients.report()...)...)
+		counts = append(counts, n.clients.report()...)
+		n.log.Info("calls", append(counts, n.guard.report()...)...)
 	}
 }
 
@@ -516,6 +517,9 @@
 		}
 		n.next = append(n.next, c)
 	}
+	if told := n.notices.owed(); len(n.held)+told < len(n.journal.Entries()) {
+		n.guard.violation(ruleStart, "entries", len(n.journal.Entries()), "held", len(n.held), "ends", told)
+	}
 }
 
 // beginList fills the directory with the saved list or that of the configuration, whichever is newer, and says whether
@@ -720,6 +724,7 @@
 		h.stop, h.call = nil, nil
 	}
 	if r.wait > 0 {
+		n.guard.wait(n.waitTargetOf(ev.call.ep, n.target(ev.call.ep)), r.wait, time.Now())
 		n.holdWait(ev.call.ep)
 	}
 	ended := h.over
@@ -774,6 +779,10 @@
 
 // finish takes a message off the books; its id is remembered until its time is up.
 func (n *Node) finish(id string, h *held) {
+	if h.over {
+		n.guard.violation(ruleEnd, "id", id)
+		return
+	}
 	h.over = true
 	n.open--
 	n.recent[id] = time.UnixMicro(h.msg.Deadline)
@@ -821,9 +830,14 @@
 		}
 	}
 	kept := map[string]*idleConn{} // what the calls of this step use
+	denied := map[string]bool{}    // calls that are not made
 	for _, a := range actions {
 		switch a := a.(type) {
 		case logic.CallOut:
+			if !n.permitCall(a.ID, a.Endpoint) {
+				denied[a.ID] = true
+				continue
+			}
 			if conn := n.caller.take(a.Endpoint, n.target(a.Endpoint).Addr); conn != nil {
 				kept[a.ID] = conn
 				n.records = append(n.records, n.sendRecord(a.ID, a.Endpoint))
@@ -858,10 +872,22 @@
 	}
 	n.puts = nil
 	for _, a := range actions {
+		if out, ok := a.(logic.CallOut); ok && denied[out.ID] {
+			n.deny(out)
+			continue
+		}
 		n.act(work, a, answers, kept, err == nil)
 	}
 }
 
+// deny answers the module for a call that the guard has stopped: it was never sent.
+func (n *Node) deny(a logic.CallOut) {
+	h := n.held[a.ID]
+	ev := replyEvent{&call{id: a.ID, attempt: h.tries, ep: a.Endpoint, state: new(atomic.Int32)}, result{outcome: logic.Moot}, 0}
+	h.tries++
+	time.AfterFunc(retryPause, func() { n.events <- ev })
+}
+
 // answers finds the messages that the module ends in the step in which they came:
 // their clients are told at once.
 func (n *Node) answers(actions []logic.Action) map[string]string {
--- a/logic/membership.go
+++ b/logic/membership.go
@@ -144,6 +144,12 @@
 	return s.staleTill(m)
 }
 
+// Unconfirmed says whether sends wait at a time for news of the list, since endpoints may drain by then.
+func (s *Sender) Unconfirmed(now Micros) bool {
+	s.now = max(s.now, now)
+	return s.unconfirmedTill(&msg{}) > s.now
+}
+
 // pushedTill is that time where an agent pushes the list. What the agent has counts as known from the first moment of a
 // process and with no watch open, so the list is good for the drain's grace from the moment the last watch ended, and not
 // at all at a start. An agent that says nothing has lost discovery and learns nothing: then the list stands.
