Soak real senders under random overlapping faults, judged by the protocol's rules; mend what it found

internal/soak and cmd/soak: real processes on loopback, endpoints with eleven behaviours, an agent of discovery a sender (down, nonsense, cut, older, endless, 503, reset, watches that fall silent, moves with SIGHUP), endpoints replaced throughout, SIGKILL, SIGTERM, SIGSTOP up to 0.15 s, bad clients; a judge for drain, waits, repeats, overlap, attempts, deadlines, ends, answers, crashes and the guard's own count.

(3) by reading: an agent that breaks calls or answers 503 holds sends as one with unusable answers.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -97,18 +97,20 @@
 	back    bool          // ... whether this is a restart ...
 	begun   bool          // ... whether the first call has been made ...
 	backoff time.Duration // ... the mean pause after an answer that can't be taken, 0 after a good one ...
-	unsaved *Update       // ... the update that is yet to be saved ...
-	source  string        // ... the address that it came from ...
-	noRoom  int           // ... how long a list had no room on disk, 0 if none did ...
-	unkept  bool          // ... whether the last update could not be saved ...
-	busy    bool          // ... whether discovery is too busy for many senders that ask at once ...
-	started bool          // ... and whether there is such a list
-	applied chan struct{} // closed once the loop has applied the last update; nil before the first
-	wake    chan struct{} // ends a pause: discovery has moved
-	mu      sync.Mutex
-	base    string
-	moved   bool               // since the last call began
-	cut     context.CancelFunc // ends the call under way
+	// ... since when all answers are older than what is known; zero if the last one was not ...
+	olderSince time.Time
+	unsaved    *Update       // ... the update that is yet to be saved ...
+	source     string        // ... the address that it came from ...
+	noRoom     int           // ... how long a list had no room on disk, 0 if none did ...
+	unkept     bool          // ... whether the last update could not be saved ...
+	busy       bool          // ... whether discovery is too busy for many senders that ask at once ...
+	started    bool          // ... and whether there is such a list
+	applied    chan struct{} // closed once the loop has applied the last update; nil before the first
+	wake       chan struct{} // ends a pause: discovery has moved
+	mu         sync.Mutex
+	base       string
+	moved      bool               // since the last call began
+	cut        context.CancelFunc // ends the call under way
 }
 
 // NewClient returns a client that sends an Event for whatever it learns.
@@ -176,6 +178,11 @@
 		if err == nil {
 			err = d.sense(list)
 		}
+		if !errors.Is(err, errOlder) {
+			d.olderSince = time.Time{}
+		} else if d.olderSince.IsZero() {
+			d.olderSince = time.Now()
+		}
 		unusable := errors.Is(err, errUnreadable) || errors.Is(err, errOlder) || errors.Is(err, errOversize)
 		if unusable {
 			d.emit(ctx, Event{Unusable: true})
@@ -186,7 +193,7 @@
 			d.wait(ctx, pause) // not for long: what it has to tell counts as told
 			continue
 		}
-		if errors.Is(err, errOlder) {
+		if errors.Is(err, errOlder) && time.Since(d.olderSince) >= d.timing.renumbered {
 			d.started = false // not a late answer: its count has begun anew
 		}
 		if err != nil {
@@ -267,9 +274,17 @@
 	case a := <-answers:
 		return a.list, a.err
 	case <-begun: // it may be long: that is no wait for news
-		if !d.pushed {
-			break
+	case <-out.C:
+		if watch {
+			d.emit(ctx, Event{Watched: true})
 		}
+		select {
+		case a := <-answers:
+			return a.list, a.err
+		case <-begun:
+		}
+	}
+	if d.pushed { // news is on its way, and may not arrive
 		out.Reset(d.timing.accepted)
 		select {
 		case a := <-answers:
@@ -277,10 +292,6 @@
 		case <-out.C:
 			d.emit(ctx, Event{Begun: true})
 		}
-	case <-out.C:
-		if watch {
-			d.emit(ctx, Event{Watched: true})
-		}
 	}
 	a := <-answers
 	return a.list, a.err
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -17,6 +17,7 @@
 	stall        time.Duration // between the bytes of an answer that has begun
 	backoffFirst time.Duration // mean pause after an answer that can't be used, doubled with each ...
 	backoffMost  time.Duration // ... up to this
+	renumbered   time.Duration // for which answers older than the known list come until its count has begun anew
 	bounded      bool          // an answer may take no longer than one of twice the known list's size does
 }
 
@@ -35,6 +36,10 @@
 	backoffLeast = 20 * time.Millisecond
 )
 
+// renumberedAfter is for how long an agent's answers have to be older than what is known until they are believed: what
+// changed meanwhile counts as known after 6 s at the latest, and late answers of the list as it was do not go on so long.
+const renumberedAfter = 5 * time.Second
+
 // partOf is a part of a span within bounds.
 func partOf(span time.Duration, part float64, least, most time.Duration) time.Duration {
 	return min(max(time.Duration(float64(span)*part), least), most)
@@ -46,7 +51,7 @@
 	answer := partOf(grace, answerPart, answerLeast, answerMost)
 	return timing{hold: watchHold, answer: answer, stall: answer,
 		accepted:     partOf(grace, acceptedPart, acceptedLeast, acceptedMost),
-		backoffFirst: backoff / 4, backoffMost: backoff, bounded: true}
+		backoffFirst: backoff / 4, backoffMost: backoff, renumbered: renumberedAfter, bounded: true}
 }
 
 // requestedTiming is for lists that are asked for by so many senders.
--- a/internal/discovery/told_test.go
+++ b/internal/discovery/told_test.go
@@ -84,7 +84,7 @@
 func (w *toldWorld) spoil(refusal bool, hold time.Duration) (what string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.asked < w.good || len(w.script) == 0 || (w.script[0] == "refused") != refusal || w.script[0] == "quiet watch" && hold <= promptHold {
+	if w.asked < w.good || len(w.script) == 0 || (w.script[0] == "refused") != refusal || strings.HasSuffix(w.script[0], "news") && hold <= promptHold || w.script[0] == "quiet watch" && hold <= promptHold {
 		if !refusal {
 			w.asked++
 		}
@@ -157,6 +157,19 @@
 			count++
 		}
 		if whole || count > int(from) {
+			if what == "stalled news" || what == "torn news" {
+				fmt.Fprintf(conn, "HTTP/1.1 200 x\r\nContent-Length: 4000\r\n\r\n"+`{"generation":9,"reset":false,"instances":[{"instanceId":"0","lifec`)
+				for range 40 { // some go on, and never end
+					if what == "torn news" {
+						return
+					}
+					time.Sleep(50 * time.Millisecond)
+					if _, err := io.WriteString(conn, strings.Repeat(" ", 8)); err != nil {
+						return
+					}
+				}
+				return
+			}
 			if what != "" { // it has not fallen silent yet
 				w.mu.Lock()
 				w.spoilt, w.script = w.spoilt[:len(w.spoilt)-1], append([]string{what}, w.script...)
@@ -172,6 +185,9 @@
 		select {
 		case <-next:
 		case <-until:
+			if strings.HasSuffix(what, "news") { // there was none
+				what = ""
+			}
 			if what == "" && !w.awaitUp(gone) {
 				return
 			}
@@ -435,7 +451,8 @@
 // next one (incident 1).
 func TestPushedChangesAreToldAtOnce(t *testing.T) {
 	graces := []time.Duration{0, 100 * time.Millisecond, 300 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second}
-	kinds := []string{"refused", "reset", "silent", "nonsense", "503", "quiet watch", "torn", "stalled"}
+	kinds := []string{"refused", "reset", "silent", "nonsense", "503", "quiet watch", "torn", "stalled",
+		"stalled news", "torn news"}
 	for _, senders := range []int{1, 8, 16, 40, 104, 300, 900} {
 		t.Run(fmt.Sprint(senders), func(t *testing.T) {
 			t.Parallel()
--- a/internal/scale/standin/discovery.go
+++ b/internal/scale/standin/discovery.go
@@ -5,6 +5,8 @@
 
 import (
 	"bufio"
+	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -62,10 +64,11 @@
 // Config is how a stand-in of discovery behaves.
 type Config struct {
 	Rows       []Row
-	Generation int64   // of the first list; 1 if 0
-	Keep       int     // changes that are kept: who asks from before them gets the whole list; 10,000 if 0
-	Machines   int     // that share the senders; 1 if 0
-	Bandwidth  float64 // of each, in bytes a second; 0 for no limit
+	Generation int64                  // of the first list; 1 if 0
+	Keep       int                    // changes that are kept: who asks from before them gets the whole list; 10,000 if 0
+	Machines   int                    // that share the senders; 1 if 0
+	Bandwidth  float64                // of each, in bytes a second; 0 for no limit
+	Noticed    func(id, state string) // hears of each message that ended by a notice; may be nil
 }
 
 // Discovery is a stand-in of discovery, and of the platform that takes notices.
@@ -420,10 +423,28 @@
 	if len(body) == 0 {
 		return p.reply("400 Bad Request", "", nil)
 	}
+	if err := d.tell(body); err != nil {
+		return p.reply("400 Bad Request", "", nil)
+	}
 	_, err = io.WriteString(p, "HTTP/1.1 204 No Content\r\n\r\n")
 	return err
 }
 
+// tell passes notices on, a JSON object a line.
+func (d *Discovery) tell(body []byte) error {
+	if d.cfg.Noticed == nil {
+		return nil
+	}
+	for dec := json.NewDecoder(bytes.NewReader(body)); dec.More(); {
+		var notice struct{ ID, State string }
+		if err := dec.Decode(&notice); err != nil {
+			return err
+		}
+		d.cfg.Noticed(notice.ID, notice.State)
+	}
+	return nil
+}
+
 // hosts answers a call for the list, in its time.
 func (d *Discovery) hosts(p *peer, req *http.Request) error {
 	q := req.URL.Query()
--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,318 @@
+package soak
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"time"
+
+	"crossdeal/internal/scale/standin"
+)
+
+// Report is what the judge found in a run.
+type Report struct {
+	Seed       uint64
+	Requests   int
+	Accepted   int
+	Delivered  int
+	Calls      int
+	GaveUp     int      // clients that had no answer in time
+	Late       int      // messages that ended, but later than they had to
+	Violations []string // a line each
+}
+
+func (r *Report) String() string {
+	return fmt.Sprintf("seed %d: %d requests, %d accepted, %d delivered, %d calls, %d clients gave up, %d late ends, %d violations",
+		r.Seed, r.Requests, r.Accepted, r.Delivered, r.Calls, r.GaveUp, r.Late, len(r.Violations))
+}
+
+func (r *Report) violate(rule, format string, args ...any) {
+	r.Violations = append(r.Violations, rule+": "+fmt.Sprintf(format, args...))
+}
+
+// What the protocol allows beyond each limit, and what this machine may add to that.
+const (
+	limitSlack   = 50 * time.Millisecond
+	machineSlack = 150 * time.Millisecond
+	endSlack     = 300 * time.Millisecond  // for the end of a message after its time
+	restartSlack = 1500 * time.Millisecond // for an end after the next start is ready
+	lostAfter    = 500 * time.Millisecond  // an end that comes later is none
+	waitSlack    = 100 * time.Millisecond  // calls that cross the answer with a wait
+	watchTold    = 6 * time.Second         // after a watch fell silent, or discovery had a change and could be reached
+	moveTold     = 4 * time.Second         // after SIGHUP
+)
+
+// message is all that is known of one message.
+type message struct {
+	*Request
+	calls   []Call
+	notices []Notice
+}
+
+// judge reads the records of a run.
+func (w *World) judge(failures []string) *Report {
+	r := &Report{Seed: w.cfg.Seed}
+	for _, f := range failures {
+		r.violate("start", "%s", f)
+	}
+	messages := w.collect(r)
+	for i, s := range w.senders {
+		w.judgeLives(r, s)
+		w.judgeWaits(r, i, messages)
+	}
+	for _, m := range messages {
+		w.judgeDrain(r, m)
+		judgeRepeats(r, m)
+		w.judgeEnd(r, m)
+	}
+	slices.Sort(r.Violations)
+	return r
+}
+
+// collect puts the records together by message.
+func (w *World) collect(r *Report) map[string]*message {
+	messages := map[string]*message{}
+	w.requests.mu.Lock()
+	for _, q := range w.requests.list {
+		messages[q.ID] = &message{Request: q}
+		r.Requests++
+		if q.Accepted() {
+			r.Accepted++
+		}
+		if q.GaveUp {
+			r.GaveUp++
+		}
+	}
+	w.requests.mu.Unlock()
+	for _, e := range w.allEndpoints() {
+		for _, c := range e.records() {
+			r.Calls++
+			if m := messages[c.ID]; m != nil {
+				m.calls = append(m.calls, c)
+			} else if !strings.HasPrefix(c.ID, "m") {
+				r.violate("unknown", "%s got message %q, which no client handed in", c.Endpoint, c.ID)
+			}
+		}
+	}
+	for _, s := range w.senders {
+		s.agent.mu.Lock()
+		for _, n := range s.agent.notices {
+			if m := messages[n.ID]; m != nil {
+				m.notices = append(m.notices, n)
+			}
+		}
+		s.agent.mu.Unlock()
+	}
+	for _, m := range messages {
+		slices.SortFunc(m.calls, func(a, b Call) int { return a.Whole.Compare(b.Whole) })
+	}
+	return messages
+}
+
+// judgeLives looks at how a sender's processes ended, and at what they said themselves.
+func (w *World) judgeLives(r *Report, s *process) {
+	for _, l := range s.history() {
+		for _, line := range l.Bad {
+			r.violate("guard", "%s: %s", s.name, line)
+		}
+		switch {
+		case l.Ended.IsZero():
+			r.violate("crash", "%s never ended", s.name)
+		case l.Term.IsZero() && l.Killed.IsZero():
+			r.violate("crash", "%s ended by itself: %v", s.name, l.Err)
+		case l.Err != nil && l.Killed.IsZero():
+			r.violate("crash", "%s: %v", s.name, l.Err)
+		}
+	}
+}
+
+// told is when a change counts as told to a sender.
+func (w *World) told(sender int, c Change) time.Time {
+	a := w.senders[sender].agent
+	told := c.Known
+	if !w.cfg.Pushed {
+		told = told.Add(watchTold)
+	}
+	for _, lost := range a.losses {
+		if told.After(lost) && c.Known.Before(lost.Add(watchTold)) {
+			told = latest(told, lost.Add(watchTold))
+		}
+	}
+	for _, f := range a.faults {
+		unreachable := f.trouble == standin.Refuse || !w.cfg.Pushed
+		if unreachable && told.After(f.from) && told.Before(f.to.Add(watchTold)) {
+			until := f.to
+			if !w.cfg.Pushed {
+				until = until.Add(watchTold)
+			}
+			told = latest(told, until)
+		}
+	}
+	for _, m := range a.moves {
+		if told.After(m) && c.Known.Before(m.Add(moveTold)) {
+			told = latest(told, m.Add(moveTold))
+		}
+	}
+	return told
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// judgeDrain looks for calls to what drains or is gone, past the grace.
+func (w *World) judgeDrain(r *Report, m *message) {
+	for _, c := range m.calls {
+		for _, change := range w.senders[m.Sender].agent.changes {
+			if change.Endpoint != c.Endpoint || change.Lifecycle == "up" {
+				continue
+			}
+			told := w.told(m.Sender, change)
+			if late := c.First.Sub(told.Add(w.grace)); late > limitSlack+machineSlack {
+				r.violate("drain", "n%d sent %s to %s %v past the grace of %v (%s, told at %s)", m.Sender, c.ID, c.Endpoint, late,
+					w.grace, change.Lifecycle, told.Format(clock))
+			}
+			break
+		}
+	}
+}
+
+const clock = "15:04:05.000"
+
+// judgeRepeats looks for attempts that overlap, are too many, or repeat what may have run against its class.
+func judgeRepeats(r *Report, m *message) {
+	if len(m.calls) > maxAttempts {
+		r.violate("attempts", "%s was sent %d times", m.ID, len(m.calls))
+	}
+	if len(m.calls) > 0 && strings.HasPrefix(m.Answer, "-BUSY") {
+		r.violate("refused", "%s was refused and sent to %s", m.ID, m.calls[0].Endpoint)
+	}
+	for i, c := range m.calls {
+		if due := m.Sent.Add(m.Time); c.First.After(due.Add(limitSlack + machineSlack)) {
+			r.violate("deadline", "%s was sent %v after its time", m.ID, c.First.Sub(due))
+		}
+		for _, earlier := range m.calls[:i] {
+			if earlier.End.IsZero() || c.Whole.Before(earlier.End.Add(-limitSlack)) {
+				r.violate("overlap", "%s was sent to %s with a call out at %s", m.ID, c.Endpoint, earlier.Endpoint)
+			}
+			late := c.First.Sub(earlier.Whole) - keyedWindow - limitSlack - machineSlack
+			if earlier.MayRun && (m.Class == classUnsafe || m.Class == classKeyed && late > 0) {
+				r.violate("repeat", "%s (%s) may have run at %s and was sent to %s %v later", m.ID, m.Class, earlier.Endpoint,
+					c.Endpoint, c.First.Sub(earlier.Whole))
+			}
+		}
+	}
+}
+
+// judgeWaits looks for calls to a destination that asked this sender to wait. A restart ends a wait.
+func (w *World) judgeWaits(r *Report, sender int, messages map[string]*message) {
+	var calls []Call
+	for _, m := range messages {
+		if m.Sender == sender {
+			calls = append(calls, m.calls...)
+		}
+	}
+	slices.SortFunc(calls, func(a, b Call) int { return a.First.Compare(b.First) })
+	lives := w.senders[sender].history()
+	for _, c := range calls {
+		if c.Wait == 0 || c.End.IsZero() {
+			continue
+		}
+		from, to := c.End.Add(waitSlack+machineSlack), c.End.Add(c.Wait-limitSlack)
+		for _, other := range calls {
+			if other.Dest == c.Dest && other.First.After(from) && other.First.Before(to) && sameLife(lives, c.End, other.First) {
+				r.violate("wait", "n%d was told by %s to wait %v and sent %s to %s %v later", sender, c.Endpoint, c.Wait, other.ID,
+					other.Endpoint, other.First.Sub(c.End))
+			}
+		}
+	}
+}
+
+// sameLife says whether one process lived at both times.
+func sameLife(lives []Life, a, b time.Time) bool {
+	for _, l := range lives {
+		if l.Started.Before(a) && (l.Ended.IsZero() || l.Ended.After(b)) {
+			return true
+		}
+	}
+	return false
+}
+
+// judgeEnd looks for accepted messages without an end, and for ends that contradict each other or the client's answer.
+func (w *World) judgeEnd(r *Report, m *message) {
+	delivered, mayHaveRun := time.Time{}, false
+	for _, c := range m.calls {
+		mayHaveRun = mayHaveRun || c.MayRun || c.End.IsZero()
+		if c.Done && delivered.IsZero() {
+			delivered = c.End
+		}
+	}
+	if !delivered.IsZero() {
+		r.Delivered++
+	}
+	for _, n := range m.notices {
+		if n.State == "returned" && mayHaveRun && m.Class != classSafe {
+			r.violate("returned", "%s (%s) may have run and was returned", m.ID, m.Class)
+		}
+	}
+	lives := w.senders[m.Sender].history()
+	if !m.Closed.IsZero() && len(m.calls)+len(m.notices) > 0 && !endedAround(lives, m.Closed) {
+		r.violate("answer", "%s was taken and its connection closed with no answer at %s", m.ID, m.Closed.Format(clock))
+	}
+	if !m.Accepted() {
+		return
+	}
+	end := delivered
+	for _, n := range m.notices {
+		if end.IsZero() || n.At.Before(end) {
+			end = n.At
+		}
+	}
+	due := m.Sent.Add(m.Time + endSlack)
+	for _, l := range lives {
+		if away := earliest(l.Term, l.Killed); !away.IsZero() && away.Before(due) {
+			due = latest(due, nextReady(lives, away).Add(restartSlack))
+		}
+	}
+	switch late := end.Sub(due); {
+	case end.IsZero():
+		r.violate("lost", "%s (%s, n%d, due %s) has no end after %d calls", m.ID, m.Class, m.Sender, due.Format(clock), len(m.calls))
+	case late > lostAfter+machineSlack:
+		r.violate("lost", "%s ended %v after it had to", m.ID, late)
+	case late > limitSlack+machineSlack:
+		r.Late++
+	}
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// nextReady is when a process was ready first after a time; that time if none was.
+func nextReady(lives []Life, at time.Time) time.Time {
+	for _, l := range lives {
+		if l.Started.After(at) && !l.Ready.IsZero() {
+			return l.Ready
+		}
+	}
+	return at
+}
+
+// endedAround says whether a process was killed, or ended, about a time: what it had not answered then is cut off.
+func endedAround(lives []Life, at time.Time) bool {
+	const about = 500 * time.Millisecond
+	for _, l := range lives {
+		for _, end := range []time.Time{l.Killed, l.Ended} {
+			if d := at.Sub(end); !end.IsZero() && d > -about && d < about {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/logic/membership.go
+++ b/logic/membership.go
@@ -14,11 +14,12 @@
 	askBroke  = Second     // and after a watch that failed, which may have been silent since it began
 	askAnswer = 100_000    // for the answer
 
-	pushedAskPart = 20         // the pause before an agent is asked again is the grace over this
-	pushedAskMost = 50_000     // and no longer than this
-	pushedAskMin  = 5_000      // nor shorter
-	heldUp        = Second / 4 // from reading the clock to the written byte, and from an answer to the word of it
-	silentMost    = Second     // an agent that says nothing for so long has lost discovery
+	pushedAskPart = 20          // the pause before an agent is asked again is the grace over this
+	pushedAskMost = 50_000      // and no longer than this
+	pushedAskMin  = 5_000       // nor shorter
+	heldUp        = Second / 4  // from reading the clock to the written byte, and from an answer to the word of it
+	unusableMost  = 10 * Second // no sends for longer while an agent gives no answer that can be used
+	silentMost    = Second      // an agent that says nothing for so long has lost discovery
 )
 
 // list takes news of the list, or of a call for it.
@@ -46,6 +47,9 @@
 		return
 	}
 	if ev.Form == ListFailed {
+		if s.set.Pushed && !ev.Silent { // the agent is there, and may have news
+			s.unusable()
+		}
 		s.askAgain(broke)
 		return
 	}
@@ -165,7 +169,7 @@
 	case s.now < from:
 		return longAgo
 	case s.unusableAt != 0:
-		return max(from, s.unusableAt) + staleMost
+		return max(from, s.unusableAt) + unusableMost
 	case s.silent:
 		return longAgo
 	case s.saved && m.untried:
