--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -336,14 +336,19 @@
 	return &client{t, conn, bufio.NewReader(conn)}
 }
 
-func (c *client) send(args ...string) {
-	c.t.Helper()
+// respText is a request in RESP2.
+func respText(args ...string) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "*%d\r\n", len(args))
 	for _, a := range args {
 		fmt.Fprintf(&b, "$%d\r\n%s\r\n", len(a), a)
 	}
-	if _, err := io.WriteString(c.conn, b.String()); err != nil {
+	return b.String()
+}
+
+func (c *client) send(args ...string) {
+	c.t.Helper()
+	if _, err := io.WriteString(c.conn, respText(args...)); err != nil {
 		c.t.Fatal(err)
 	}
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -137,7 +137,7 @@
 // planProcess restarts a sender, planned or not, holds it up, and moves its discovery.
 func (p *Plan) planProcess(w *World, s *process, rng *rand.Rand) {
 	for at := 1500*time.Millisecond + time.Duration(rng.Int64N(int64(6*time.Second))); at < w.cfg.Span; {
-		switch rng.IntN(5) {
+		switch rng.IntN(6) {
 		case 0:
 			p.add(at, s.name+": SIGKILL and start", func() error {
 				s.kill()
@@ -156,6 +156,9 @@
 			span := time.Duration(rng.Int64N(int64(freezeMost)))
 			p.add(at, fmt.Sprintf("%s: held up for %v", s.name, span), func() error { s.freeze(span); return nil })
 			at += time.Second
+		case 3:
+			p.add(at, s.name+": a new version takes over", func() error { return s.upgrade(terminateAfter) })
+			at += terminateAfter + time.Second
 		default:
 			generation := 1 + rng.Int64N(1000)
 			p.add(at, s.name+": SIGHUP, discovery moves", func() error {
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -141,6 +141,30 @@
 	}
 }
 
+// upgrade starts a new process beside the one that runs, and ends that one once the new one is ready.
+func (p *process) upgrade(leave time.Duration) error {
+	p.mu.Lock()
+	old, life, done := p.cmd, p.lives[len(p.lives)-1], p.done
+	p.mu.Unlock()
+	if err := p.start(); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	life.Term = time.Now()
+	p.mu.Unlock()
+	old.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-done:
+	case <-time.After(leave):
+		p.mu.Lock()
+		life.Killed = time.Now()
+		p.mu.Unlock()
+		old.Process.Kill()
+		<-done
+	}
+	return nil
+}
+
 // freeze holds the process up for a while.
 func (p *process) freeze(span time.Duration) {
 	p.signal(syscall.SIGSTOP)
