Watch a pushed list in half graces, and let a start wait for a silent agent's first answer

A watch's hold and slack now come to 0.7 of the grace; a start sends nothing on a list that its agent has not confirmed, for half of a message's time where the agent is silent.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -163,7 +163,7 @@
 			limit = d.timing.answer
 		case d.started:
 			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, d.gen, d.timing.hold.Milliseconds())
-			limit = d.timing.hold + watchSlack
+			limit = d.timing.hold + d.timing.slack
 		}
 		at := time.Now()
 		d.log.Debug("list call", "url", url, "limit", limit.String())
--- a/internal/discovery/timing.go
+++ b/internal/discovery/timing.go
@@ -11,7 +11,8 @@
 type timing struct {
 	firstPause   time.Duration // longest pause before the first call of a first start
 	busyPause    time.Duration // mean pause after news from a discovery that is busy; 0 for none
-	hold         time.Duration // how long a watch may wait for news
+	hold         time.Duration // how long a watch may wait for news ...
+	slack        time.Duration // ... and how much later its answer may come
 	answer       time.Duration // until an answer begins that need not wait for news
 	accepted     time.Duration // a watch that is out for longer was accepted and waits for news
 	stall        time.Duration // between the bytes of an answer that has begun
@@ -23,6 +24,10 @@
 
 // Of the drain's grace, where lists are pushed, at most and at least.
 const (
+	// for a watch: one that has fallen silent, and an agent that is back from an outage under it, show within the grace
+	holdPart  = 0.4
+	holdLeast = 100 * time.Millisecond
+
 	answerPart  = 0.3 // for an answer that need not wait
 	answerMost  = 300 * time.Millisecond
 	answerLeast = 50 * time.Millisecond
@@ -49,14 +54,14 @@
 func pushedTiming(grace time.Duration) timing {
 	backoff := partOf(grace, backoffPart, backoffLeast, backoffMost)
 	answer := partOf(grace, answerPart, answerLeast, answerMost)
-	return timing{hold: watchHold, answer: answer, stall: answer,
+	return timing{hold: partOf(grace, holdPart, holdLeast, watchHold), slack: answer, answer: answer, stall: answer,
 		accepted:     partOf(grace, acceptedPart, acceptedLeast, acceptedMost),
 		backoffFirst: backoff / 4, backoffMost: backoff, renumbered: renumberedAfter, bounded: true}
 }
 
 // requestedTiming is for lists that are asked for by so many senders.
 func requestedTiming(senders int, grace time.Duration) timing {
-	t := timing{hold: watchHold, answer: listTime, accepted: accepted, stall: silence, backoffFirst: badFirst, backoffMost: badLongest}
+	t := timing{hold: watchHold, slack: watchSlack, answer: listTime, accepted: accepted, stall: silence, backoffFirst: badFirst, backoffMost: badLongest}
 	if senders < SpreadFrom {
 		return t
 	}
--- a/logic/logic.go
+++ b/logic/logic.go
@@ -1028,7 +1028,7 @@
 	if p.Kept && !p.MayRun {
 		left := m.deadline - s.now
 		last := min(left, Micros(lastPart*float64(m.class.Deadline)))
-		m.untried, m.half = true, s.now+left/2
+		m.untried = true
 		m.chance = m.deadline - last/3 - Micros(s.rng.Float64()*float64(last)*2/3)
 	}
 	if p.Tries == 0 {
--- a/logic/membership.go
+++ b/logic/membership.go
@@ -155,8 +155,9 @@
 }
 
 // pushedTill is that time where an agent pushes the list. What the agent has counts as known from the first moment of a
-// process and with no watch open, so the list is good for the drain's grace from the moment the last watch ended, and not
-// at all at a start. An agent that says nothing has lost discovery and learns nothing: then the list stands.
+// process and with no watch open, so the list is good for the drain's grace from the moment the last watch ended. An agent
+// that says nothing has lost discovery and learns nothing: then the list stands. A start knows nothing of what the agent
+// had: it waits for its first answer, but no message waits for that beyond half of its time where the agent is silent.
 func (s *Sender) pushedTill(m *msg) Micros {
 	if s.watched {
 		return longAgo
@@ -170,10 +171,10 @@
 		return longAgo
 	case s.unusableAt != 0:
 		return max(from, s.unusableAt) + unusableMost
+	case s.saved: // the agent may have told the process before what is not in its list
+		return min(from+unusableMost, m.half)
 	case s.silent:
 		return longAgo
-	case s.saved && m.untried:
-		return min(from+silentMost, m.half)
 	}
 	return from + silentMost
 }
--- /dev/null
+++ b/logic/membership_test.go
@@ -0,0 +1,80 @@
+package logic
+
+import "testing"
+
+// Where an agent pushes the list, sends go on for the drain's grace after a watch has ended, less the time that a sender
+// may be held up, and stop then until the next news: unless the agent says nothing, which has lost discovery. A start
+// sends nothing before its first answer, or half of a message's time.
+func TestPushedListIsALease(t *testing.T) {
+	const grace = Second
+	lease := seconds(grace - heldUp)
+	watched, silent := Endpoints{Form: ListWatched}, Endpoints{Form: ListFailed, Silent: true}
+	failed, unusable, begun := Endpoints{Form: ListFailed}, Endpoints{Form: ListUnusable}, Endpoints{Form: ListBegun}
+	news := Endpoints{Form: ListDelta}
+	type at struct {
+		t  float64
+		ev Endpoints
+	}
+	for name, x := range map[string]struct {
+		start bool // on a list that is as it was before the start
+		evs   []at
+		at    float64
+		sent  bool
+	}{
+		"watched for long":                     {false, []at{{0.1, watched}}, 30, true},
+		"news, no watch yet":                   {false, []at{{5, news}}, 5 + lease - 0.01, true},
+		"news, no watch for the grace":         {false, []at{{5, news}}, 5 + lease + 0.01, false},
+		"the watch broke":                      {false, []at{{0.1, watched}, {9, failed}}, 9 + lease - 0.01, true},
+		"the watch broke, and nothing came":    {false, []at{{0.1, watched}, {9, failed}}, 9 + lease + 0.01, false},
+		"an answer began under the watch":      {false, []at{{0.1, watched}, {9, begun}}, 9 + lease + 0.01, false},
+		"it could not be used":                 {false, []at{{0.1, watched}, {9, begun}, {9.7, unusable}}, 9 + lease + 0.01, false},
+		"nor were those for seconds":           {false, []at{{0.1, watched}, {9, unusable}, {12, failed}, {15, failed}}, 16, false},
+		"then news":                            {false, []at{{0.1, watched}, {9, unusable}, {12, failed}, {15, news}}, 15.1, true},
+		"the watch fell silent, the agent too": {false, []at{{0.1, watched}, {9, failed}, {9.3, silent}}, 20, true},
+		"back with an answer of no use":        {false, []at{{0.1, watched}, {9, silent}, {9.3, silent}, {15, unusable}}, 15 + lease + 0.01, false},
+		"silent once, after one of no use":     {false, []at{{0.1, watched}, {9, unusable}, {9.5, silent}}, 12, false},
+		"a start":                              {true, nil, 0.01, false},
+		"a start, answered":                    {true, []at{{0.01, news}}, 0.02, true},
+		"a start, nobody answers":              {true, []at{{0.3, silent}, {0.7, silent}}, 2, false},
+		"a start, answered with no use":        {true, []at{{0.3, unusable}, {0.7, failed}}, 9, false},
+	} {
+		set := base()
+		set.Pushed, set.DrainGrace = true, grace
+		r := newRig(t, set)
+		first := list(1)
+		first.Form, first.Old = ListCached, x.start
+		r.step(0, first)
+		for _, e := range x.evs {
+			r.step(e.t, e.ev)
+		}
+		if n := len(only[CallOut](r.step(x.at, r.call(0)))); (n == 1) != x.sent {
+			t.Errorf("%s: %d sends at %.2f, want %v", name, n, x.at, x.sent)
+		}
+	}
+}
+
+// A message waits for an agent that is silent at a start for half of its time, and for one whose answers are of no use for
+// as long as they come.
+func TestStartWaitsForTheAgent(t *testing.T) {
+	for _, x := range []struct {
+		ev   Endpoints
+		half bool
+	}{{Endpoints{Form: ListFailed, Silent: true}, true}, {Endpoints{Form: ListUnusable}, false}} {
+		set := base()
+		set.Pushed, set.DrainGrace = true, Second
+		r := newRig(t, set)
+		first := list(1)
+		first.Form, first.Old = ListCached, true
+		r.step(0, first)
+		c := r.call(0)
+		c.Left = 8 * Second
+		r.step(0.1, c)
+		r.step(0.3, x.ev)
+		if n := len(only[CallOut](r.step(3))); n != 0 {
+			t.Errorf("%+v: sent before half of its time", x.ev)
+		}
+		if n := len(only[CallOut](r.step(4.2))); (n == 1) != x.half {
+			t.Errorf("%+v: %d sends after half of its time", x.ev, n)
+		}
+	}
+}
--- a/logic/state.go
+++ b/logic/state.go
@@ -104,8 +104,8 @@
 	flows    bool
 	came     int    // step
 	untried  bool   // a restart found it, or would find it over, and no call of it has been made
-	half     Micros // then: how long it waits for the first list at most ...
-	chance   Micros // ... and for the pace
+	half     Micros // when half of the time is over that it had here: it waits no longer for the first list
+	chance   Micros // untried: how long it waits for the pace
 	prio     float64
 }
 
@@ -484,7 +484,7 @@
 	class := &s.set.Classes[c.Class]
 	s.seq++
 	m := &msg{id: c.ID, class: class, ci: c.Class, dest: s.dest(c.Dest), seq: s.seq, came: s.step,
-		deadline: s.now + c.Left, first: min(s.now, s.now+c.Left-class.Deadline)}
+		deadline: s.now + c.Left, half: s.now + c.Left/2, first: min(s.now, s.now+c.Left-class.Deadline)}
 	s.ageOut(m.dest)
 	m.dest.came++
 	s.meanWorth += (class.Worth - s.meanWorth) / float64(min(s.seq, 50))
