--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -42,6 +42,7 @@
 	readAhead  = 64 << 10                // bytes of an answer that are read at once
 	silence    = 2 * time.Second         // between bytes of an answer that has begun; that long it may take in any case ...
 	slowest    = 128 << 10               // ... and a second for so many bytes beyond that
+	warnEvery  = time.Second             // between two warnings of failed calls
 	usualRow   = 200                     // bytes of a row, to guess an answer's size
 	leastPaid  = 64 << 10                // bytes of an answer that buy it time, however short the known list is
 	trailer    = 4 << 10                 // bytes behind a list that are read, to keep the connection ...
@@ -99,6 +100,7 @@
 	backoff time.Duration // ... the mean pause after an answer that can't be taken, 0 after a good one ...
 	// ... since when all answers are older than what is known; zero if the last one was not ...
 	olderSince time.Time
+	warned     time.Time     // when a failed call was last logged as a warning
 	unsaved    *Update       // ... the update that is yet to be saved ...
 	source     string        // ... the address that it came from ...
 	noRoom     int           // ... how long a list had no room on disk, 0 if none did ...
@@ -189,7 +191,7 @@
 		}
 		if bad++; bad < badMost && unusable {
 			pause := d.backOff()
-			d.log.Warn("discovery, the list stays as it is", "err", err, "known", d.gen, "again in", pause.String())
+			d.log.Log(ctx, d.warnLevel(), "discovery, the list stays as it is", "err", err, "known", d.gen, "again in", pause.String())
 			d.wait(ctx, pause) // not for long: what it has to tell counts as told
 			continue
 		}
@@ -197,7 +199,7 @@
 			d.started = false // not a late answer: its count has begun anew
 		}
 		if err != nil {
-			d.log.Warn("discovery", "err", err)
+			d.log.Log(ctx, d.warnLevel(), "discovery", "err", err)
 			d.busy = d.busy || errors.Is(err, errUnavailable)
 			d.emit(ctx, Event{Err: err, Silent: isSilent(err)})
 			return
@@ -236,6 +238,17 @@
 	d.log.Debug("list call ended", "took", took.String(), "generation", list.Generation, "whole", list.Whole, "rows", list.count)
 }
 
+// warnLevel is the level at which a call that failed is logged: where calls follow each other closely, not each as a
+// warning.
+func (d *Client) warnLevel() slog.Level {
+	now := time.Now()
+	if d.pushed && now.Sub(d.warned) < warnEvery {
+		return slog.LevelDebug
+	}
+	d.warned = now
+	return slog.LevelWarn
+}
+
 // sense says what is wrong with a list, if anything is: changes where there is nothing to change yet, a whole list with
 // no word of instances, or a list that is older than what is known.
 func (d *Client) sense(list *answer) error {
--- a/logic/membership.go
+++ b/logic/membership.go
@@ -25,10 +25,7 @@
 // list takes news of the list, or of a call for it.
 func (s *Sender) list(ev Endpoints) {
 	switch ev.Form {
-	case ListBegun:
-		s.unwatch()
-		return
-	case ListUnusable:
+	case ListBegun, ListUnusable:
 		s.unusable()
 		return
 	}
@@ -72,7 +69,8 @@
 	}
 }
 
-// unusable notes an answer that could not be used. What it held counts as known, so silence before it proves nothing.
+// unusable notes an answer that could not be used, or not yet. What it holds counts as known, so silence before it proves
+// nothing.
 func (s *Sender) unusable() {
 	s.unwatch()
 	if s.unusableAt != 0 {
