--- a/internal/scale/fleet.go
+++ b/internal/scale/fleet.go
@@ -100,7 +100,6 @@
 // standIn is a destination.
 type standIn struct {
 	mode  Mode
-	held  int            // messages for it that senders hold
 	ended int            // that senders ended
 	back  logic.Micros   // when it came back cold; 0 if it did not
 	calls []logic.Micros // in the last second, if it has a limit
