--- a/logic/limits_test.go
+++ b/logic/limits_test.go
@@ -9,7 +9,10 @@
 
 // TestModuleLimits keeps the module as short and narrow as its readers were promised.
 func TestModuleLimits(t *testing.T) {
-	for _, name := range []string{"logic.go", "types.go", "state.go", "settings.go"} {
+	names := []string{"logic.go", "types.go", "state.go", "settings.go", "membership.go", "endpoint_list.go", "queue.go",
+		"routing.go", "gate.go", "ejection.go", "slow_start.go", "rate_limit.go", "restart_time.go", "outcome.go",
+		"ending.go", "timer.go"}
+	for _, name := range names {
 		text, err := os.ReadFile(name)
 		if err != nil {
 			t.Fatal(err)
--- a/logic/membership.go
+++ b/logic/membership.go
@@ -1,8 +1,9 @@
 package logic
 
-// Decisions on the list of endpoints: when it is asked for, and how long it may be acted on. A list is a lease: it says
-// what was so when discovery wrote it, and what changed since counts as known to this sender some time later, whether
-// or not it arrived. Once that time has come nothing is sent until the list is confirmed.
+// Decisions on the list of endpoints: when it is asked for, and how long it may be acted on. A list is a
+// lease: it says what was so when discovery wrote it, and what changed since counts as known to this sender
+// some time later, whether or not it arrived. Once that time has come nothing is sent until the list is
+// confirmed.
 
 const (
 	staleMost = 4 * Second // nothing is sent on an old list for so long: discovery may be down for longer
@@ -17,7 +18,7 @@
 	pushedAskPart = 20          // the pause before an agent is asked again is the grace over this
 	pushedAskMost = 50_000      // and no longer than this
 	pushedAskMin  = 5_000       // nor shorter
-	heldUp        = Second / 4  // from reading the clock to the written byte, and from an answer to the word of it
+	heldUp        = Second / 4  // from reading the clock to the written byte, or an answer to its word
 	unusableMost  = 10 * Second // no sends for longer while an agent gives no answer that can be used
 	silentMost    = Second      // an agent that says nothing for so long has lost discovery
 )
@@ -69,8 +70,8 @@
 	}
 }
 
-// unusable notes an answer that could not be used, or not yet. What it holds counts as known, so silence before it proves
-// nothing.
+// unusable notes an answer that could not be used, or not yet. What it holds counts as known, so silence
+// before it proves nothing.
 func (s *Sender) unusable() {
 	s.unwatch()
 	if s.unusableAt != 0 {
@@ -114,7 +115,8 @@
 	return min(askEach*Micros(s.set.Senders), askApart), askApart
 }
 
-// moved ends the pause before discovery is asked again: what it has to tell counts as known soon after a move.
+// moved ends the pause before discovery is asked again: what it has to tell counts as known soon after a
+// move.
 func (s *Sender) moved() {
 	if s.askAt != never {
 		s.askAt, s.askGap = s.now, askGap
@@ -134,8 +136,8 @@
 	s.askAt = never
 }
 
-// unconfirmedTill is the time until which m is not sent since the list is not confirmed: endpoints may drain by now. It
-// ends with the next news, or after a while: discovery may be down for long.
+// unconfirmedTill is the time until which m is not sent since the list is not confirmed: endpoints may drain
+// by now. It ends with the next news, or after a while: discovery may be down for long.
 func (s *Sender) unconfirmedTill(m *msg) Micros {
 	if s.set.Pushed {
 		return s.pushedTill(m)
@@ -152,10 +154,11 @@
 	return s.unconfirmedTill(&msg{}) > s.now
 }
 
-// pushedTill is that time where an agent pushes the list. What the agent has counts as known from the first moment of a
-// process and with no watch open, so the list is good for the drain's grace from the moment the last watch ended. An agent
-// that says nothing has lost discovery and learns nothing: then the list stands. A start knows nothing of what the agent
-// had: it waits for its first answer, but no message waits for that beyond half of its time where the agent is silent.
+// pushedTill is that time where an agent pushes the list. What the agent has counts as known from the first
+// moment of a process and with no watch open, so the list is good for the drain's grace from the moment the
+// last watch ended. An agent that says nothing has lost discovery and learns nothing: then the list stands. A
+// start knows nothing of what the agent had: it waits for its first answer, but no message waits for that
+// beyond half of its time where the agent is silent.
 func (s *Sender) pushedTill(m *msg) Micros {
 	if s.watched {
 		return longAgo
@@ -177,8 +180,8 @@
 	return from + silentMost
 }
 
-// unusableTill is that time where the list comes on request and its last answer could not be used: what it held counts
-// as known from its writing.
+// unusableTill is that time where the list comes on request and its last answer could not be used: what it
+// held counts as known from its writing.
 func (s *Sender) unusableTill() Micros {
 	if s.unusableAt == 0 {
 		return longAgo
@@ -190,9 +193,9 @@
 	return from + staleMost
 }
 
-// staleTill is that time where the list comes on request: what changes counts as known some time later, even if nothing
-// came, and so does what changed before a start on a saved list. What a restart found with little time left waits for
-// the first answer for half of that only.
+// staleTill is that time where the list comes on request: what changes counts as known some time later, even
+// if nothing came, and so does what changed before a start on a saved list. What a restart found with little
+// time left waits for the first answer for half of that only.
 func (s *Sender) staleTill(m *msg) Micros {
 	if saved := s.savedTill(m); s.saved && s.set.ListAge > 0 && s.now < saved {
 		return saved
