Keep deadlines, windows and state transfers on a time line that steps of the wall clock do not touch

internal/clock: the monotonic clock from what the wall clock said at the start; a process that takes over goes on with the time of the one before.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -14,6 +14,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"crossdeal/internal/clock"
 )
 
 const (
@@ -45,6 +47,7 @@
 	log     *slog.Logger
 	events  chan<- any
 	guard   *guard
+	clock   *clock.Clock
 	most    int // connections
 	mu      sync.Mutex
 	fds     descriptors
@@ -150,7 +153,7 @@
 	if m := cfg.Limits.MemoryMB; m > 0 { // each may hold the whole of a request, read or half read
 		most = min(most, max(int(m*(1<<20)*clientPart)/(maxBulk+maxRest), 16))
 	}
-	c := &clients{cfg: cfg, log: log, events: events, guard: newGuard(log), most: most,
+	c := &clients{cfg: cfg, log: log, events: events, guard: newGuard(log), clock: clock.New(), most: most,
 		conns: map[net.Conn]*standing{}}
 	c.ended = sync.NewCond(&c.mu)
 	return c
@@ -251,7 +254,7 @@
 	var states []transferClient
 	for _, conn := range c.parked {
 		x := c.conns[conn]
-		states = append(states, transferClient{x.since.UnixMicro(), x.proven})
+		states = append(states, transferClient{c.clock.Micros(x.since), x.proven})
 	}
 	return c.parked, states
 }
@@ -260,7 +263,7 @@
 func (c *clients) adopt(conn net.Conn, from transferClient) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conns[conn] = &standing{since: time.UnixMicro(from.Since), proven: from.Proven}
+	c.conns[conn] = &standing{since: c.clock.Time(from.Since), proven: from.Proven}
 	c.start(conn, c.firstBy(conn))
 }
 
@@ -720,7 +723,7 @@
 			if err != nil || ms < 0 || ms > maxHold.Milliseconds() {
 				return m, errors.New("bad time")
 			}
-			m.Deadline, haveTime = now.Add(time.Duration(ms)*time.Millisecond).UnixMicro(), true
+			m.Deadline, haveTime = c.clock.Micros(now.Add(time.Duration(ms)*time.Millisecond)), true
 		case "dest":
 			n, err := strconv.ParseInt(value, 10, 64)
 			if err != nil || n < 0 {
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -142,7 +142,7 @@
 		return ruleDrain
 	case to.Dest != h.msg.Dest:
 		return ruleDestination
-	case !now.Before(time.UnixMicro(h.msg.Deadline)):
+	case !now.Before(n.clock.Time(h.msg.Deadline)):
 		return ruleDeadline
 	case n.guard.waiting(n.waitTargetOf(ep, to), now):
 		return ruleWait
@@ -170,7 +170,7 @@
 	case logic.Unsafe:
 		return true
 	case logic.Keyed:
-		return now.After(time.UnixMicro(e.FirstMay).Add(span(c.Window)))
+		return now.After(n.clock.Time(e.FirstMay).Add(span(c.Window)))
 	}
 	return false
 }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -370,7 +370,7 @@
 // pack makes the state transfer. Both processes together may hold so many descriptors: what goes beyond that stays here, calls
 // going first and idle connections last.
 func (n *Node) pack(inRows bool) (*stateTransfer, *handConns, []net.Conn) {
-	p := &stateTransfer{At: time.Now().UnixMicro(), Clock: micros(time.Since(n.start)), Discovery: n.disc.Address(),
+	p := &stateTransfer{At: n.clock.Now(), Clock: micros(time.Since(n.start)), Discovery: n.disc.Address(),
 		Generation: n.generation, Recent: map[string]int64{}}
 	if inRows {
 		p.Module, p.Names = n.sender.SaveRest(), n.names()
@@ -386,7 +386,7 @@
 		}
 	}
 	for id, t := range n.recent {
-		p.Recent[id] = t.UnixMicro()
+		p.Recent[id] = n.clock.Micros(t)
 	}
 	room := n.sockets/2 - spareSockets
 	c := &handConns{}
@@ -395,8 +395,8 @@
 		if h.aside != nil {
 			in := h.call
 			got, _ := h.aside.r.Peek(h.aside.r.Buffered())
-			p.Calls = append(p.Calls, transferCall{id, in.attempt, in.ep, in.at.UnixMicro(),
-				in.at.Add(in.giveUp).UnixMicro(), got})
+			p.Calls = append(p.Calls, transferCall{id, in.attempt, in.ep, n.clock.Micros(in.at),
+				n.clock.Micros(in.at.Add(in.giveUp)), got})
 			c.calls, c.of = append(c.calls, h.aside), append(c.of, h)
 			room--
 		}
@@ -412,7 +412,7 @@
 				continue
 			}
 			c.idle, c.idleOf = append(c.idle, conn), append(c.idleOf, ep)
-			p.Idle = append(p.Idle, transferIdle{ep, conn.since.UnixMicro()})
+			p.Idle = append(p.Idle, transferIdle{ep, n.clock.Micros(conn.since)})
 		}
 	}
 	return p, c, parked[some:]
@@ -756,7 +756,8 @@
 
 // adopt goes on with what another process has handed over.
 func (n *Node) adopt(work context.Context, l *takeover) {
-	n.start = time.Now().Add(-span(l.Clock) - max(time.Since(time.UnixMicro(l.At)), 0))
+	n.clock.Follow(l.At)
+	n.start = n.clock.Time(l.At).Add(-span(l.Clock))
 	for _, x := range l.names {
 		n.dir.Adopt(x.name, x.id, x.to)
 	}
@@ -776,7 +777,7 @@
 		n.next = append(n.next, logic.Endpoints{Form: logic.ListBegun})
 	}
 	for id, t := range l.Recent {
-		n.recent[id] = time.UnixMicro(t)
+		n.recent[id] = n.clock.Time(t)
 	}
 	for _, e := range n.journal.Entries() {
 		if e.End != nil {
@@ -804,7 +805,7 @@
 			continue
 		}
 		h.call = &call{id: x.ID, attempt: x.Attempt, ep: x.Endpoint, addr: n.target(x.Endpoint).Addr,
-			at: time.UnixMicro(x.At), giveUp: time.Duration(x.By-x.At) * time.Microsecond,
+			at: n.clock.Time(x.At), giveUp: time.Duration(x.By-x.At) * time.Microsecond,
 			request: &http.Request{Method: http.MethodPost}, state: new(atomic.Int32)}
 		h.call.state.Store(callSent)
 		if conns[0] == nil {
@@ -821,7 +822,7 @@
 			if !n.caller.put(x.Endpoint, kept) {
 				conn.Close()
 			}
-			kept.since = time.UnixMicro(x.Since)
+			kept.since = n.clock.Time(x.Since)
 		}
 		conns = conns[1:]
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"crossdeal/internal/clock"
 	"crossdeal/internal/discovery"
 	"crossdeal/logic"
 )
@@ -81,6 +82,7 @@
 	journal    *Journal
 	sender     *logic.Sender
 	caller     *caller
+	clock      *clock.Clock
 	trace      *tracer
 	guard      *guard
 	dir        *discovery.Directory
@@ -149,7 +151,7 @@
 	n := &Node{cfg: cfg, log: log, sockets: sockets, sender: sender, clients: clients, door: d, successors: make(chan successor), moves: make(chan struct{}, 1), writes: make(chan leave), dir: discovery.NewDirectory(cfg.Deploy.Zones, set.Kinds),
 		caller: newCaller(span(cfg.Deploy.ConnectTimeout), span(set.ConnIdle), set.Slots, sockets/4),
 		events: events, orders: orders, ready: make(chan net.Addr, 1), start: time.Now(), held: map[string]*held{}, recent: map[string]time.Time{}}
-	n.trace, n.guard = newTracer(log, n.dir), n.clients.guard
+	n.trace, n.guard, n.clock = newTracer(log, n.dir), n.clients.guard, n.clients.clock
 	log.Info("settings", "on_request", set.OnRequest, "senders", set.Senders, "drain_grace", span(set.DrainGrace).String(),
 		"slots", set.Slots, "max_open", set.MaxOpen, "known", len(cfg.Known.Instances), "generation", cfg.Known.Generation)
 	n.saved = discovery.OpenStore(cfg.StateDir, cfg.Limits.storeBytes(), log)
@@ -454,7 +456,7 @@
 }
 
 func (n *Node) sendRecord(id string, ep logic.EndpointID) record {
-	return record{Op: opSend, ID: id, At: time.Now().UnixMicro(), Zone: n.target(ep).Zone}
+	return record{Op: opSend, ID: id, At: n.clock.Now(), Zone: n.target(ep).Zone}
 }
 
 // askLeave asks the loop whether a call may be written, until ctx is over.
@@ -489,7 +491,7 @@
 	for _, id := range n.journal.TakenOut() {
 		n.next = append(n.next, logic.TakeOut{Endpoint: n.dir.Number(id)})
 	}
-	now := time.Now().UnixMicro()
+	now := n.clock.Now()
 	for _, e := range n.journal.Entries() {
 		if e.End != nil {
 			n.notices.add(*e.End)
@@ -634,7 +636,7 @@
 	n.held[id] = &held{msg: &m}
 	n.open++
 	n.puts = append(n.puts, ev)
-	n.next = append(n.next, n.callOf(&m, time.Now().UnixMicro()))
+	n.next = append(n.next, n.callOf(&m, n.clock.Now()))
 }
 
 // waits says whether the message came since the last step.
@@ -785,7 +787,7 @@
 	}
 	h.over = true
 	n.open--
-	n.recent[id] = time.UnixMicro(h.msg.Deadline)
+	n.recent[id] = n.clock.Time(h.msg.Deadline)
 	if h.stop == nil {
 		delete(n.held, id)
 	}
@@ -988,7 +990,7 @@
 	in.allow = func(ctx context.Context) bool { return n.askLeave(ctx, in) }
 	if e := n.journal.Entry(a.ID); e != nil && e.MayRun { // a repeat: by the end of the window it must be written
 		if c := n.cfg.Deploy.Settings.Classes[n.cfg.Classes[h.msg.Class]]; c.Effect == logic.Keyed {
-			in.writeBy = time.UnixMicro(e.FirstMay).Add(span(c.Window))
+			in.writeBy = n.clock.Time(e.FirstMay).Add(span(c.Window))
 		}
 	}
 	ctx, stop := context.WithCancelCause(work)
