Try again on this machine where it cannot make a connection, as the same attempt

EMFILE, ENFILE, ENOBUFS, ENOMEM, EADDRNOTAVAIL, EAGAIN, ENETUNREACH and ENETDOWN at a connect ended attempts: the first two at once and without a pause, so that a message's attempts were used up within a step or two; the others counted against the endpoint. The connect is now tried again each 0.1 s for as long as the attempt lasts.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -60,8 +60,9 @@
 // unanswered names, in the tally, the ends of a call that no answer came to.
 var unanswered = map[logic.Outcome]string{logic.Severed: "broken", logic.Overdue: "timed_out", logic.Recalled: "called_off"}
 
-// errNoDescriptor ends a call for which no descriptor came free.
-var errNoDescriptor = errors.New("no descriptor is free")
+// errNoDescriptor ends a call for which no descriptor came free, or that this machine could not make: it says nothing of
+// the endpoint.
+var errNoDescriptor = errors.New("no connection can be made from here")
 
 // result is how a call ended.
 type result struct {
@@ -295,12 +296,17 @@
 		return nil, err
 	}
 	dialed, err := c.dialer.DialContext(ctx, "tcp", in.addr)
+	for isLocal(err) && ctx.Err() == nil { // nothing was sent, so it is the same attempt still
+		c.note("local_failure")
+		pauseFor(ctx, localPause)
+		dialed, err = c.dialer.DialContext(ctx, "tcp", in.addr)
+	}
 	if err != nil {
 		if c.fds != nil {
 			c.fds.endCall()
 		}
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) {
-			err = errNoDescriptor
+		if isLocal(err) {
+			err = fmt.Errorf("%w: %w", errNoDescriptor, err)
 		}
 		return nil, err
 	}
@@ -309,6 +315,25 @@
 	return conn, nil
 }
 
+// localPause is the time between two tries to connect that fail on this machine.
+const localPause = 100 * time.Millisecond
+
+// localErrors are failures to connect that are this machine's own: they speak against no endpoint, and pass.
+var localErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
+	syscall.EAGAIN, syscall.ENETUNREACH, syscall.ENETDOWN}
+
+func isLocal(err error) bool {
+	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
+}
+
+// pauseFor waits for a while, or until ctx is over.
+func pauseFor(ctx context.Context, span time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(span):
+	}
+}
+
 // waitDescriptor takes a descriptor for a new connection, if need be in place of one that is of less use. A client that
 // may be about to send its first request is of less use only once the call has waited.
 func (c *caller) waitDescriptor(ctx context.Context) error {
