--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -224,8 +224,14 @@
 		return result{outcome: given}
 	}
 	conn.SetDeadline(time.Now().Add(headTime))
-	if given == logic.Severed && c.headParked(ctx, conn) {
-		return result{parked: conn}
+	if given == logic.Severed {
+		if c.headParked(ctx, conn) {
+			return result{parked: conn}
+		}
+		if ctx.Err() != nil { // called off with half a head: the rest has a moment, as any answer on its way
+			given = logic.Recalled
+			conn.SetDeadline(time.Now().Add(c.linger))
+		}
 	}
 	delivered := saysDelivered(conn.r)
 	resp, err := http.ReadResponse(conn.r, in.request)
--- a/internal/node/calls_test.go
+++ b/internal/node/calls_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -286,3 +287,26 @@
 		}
 	}
 }
+
+// A call is called off with half of its answer's head there: it ends soon, and not after the time that a head may take.
+func TestCancelUnderHalfAHead(t *testing.T) {
+	e := newEndpoint(t)
+	c := newCaller(time.Second, 10*time.Second, 4, 16)
+	req, err := http.NewRequest(http.MethodPost, "http://"+e.addr()+"/inbox", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancelCause(t.Context())
+	ended := make(chan result, 1)
+	go func() {
+		ended <- c.do(ctx, &call{ep: 1, addr: e.addr(), giveUp: patience, at: time.Now(), request: req, state: new(atomic.Int32)})
+	}()
+	io.WriteString(await(t, e.calls, "call").conn, "HTTP/1.1 500 Inter")
+	time.Sleep(50 * time.Millisecond)
+	at := time.Now()
+	cancel(nil)
+	r := await(t, ended, "outcome")
+	if took := time.Since(at); r.outcome != logic.Recalled || took > headTime/2 {
+		t.Errorf("%v after %v, want recalled at once", r.outcome, took)
+	}
+}
