--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -772,10 +772,7 @@
 		known, n.generation = l.Generation, l.Generation
 	}
 	n.matchSaved(l.Discovery, l.Generation)
-	n.disc.Begin(known, true)         // this is no first start: the watch goes on at once
-	if n.cfg.Deploy.Settings.Pushed { // the owner's watch is over, and ours is yet to begin
-		n.next = append(n.next, logic.Endpoints{Form: logic.ListBegun})
-	}
+	n.disc.Begin(known, true) // this is no first start: the watch goes on at once
 	for id, t := range l.Recent {
 		n.recent[id] = n.clock.Time(t)
 	}
--- a/logic/handover.go
+++ b/logic/handover.go
@@ -244,6 +244,9 @@
 	s.now, s.seq, s.logs, s.stray, s.meanWorth = x.Now, x.Seq, x.Logs, x.Stray, x.MeanWorth
 	s.askAt, s.askGap, s.listAt, s.watched, s.saved = x.AskAt, x.AskGap, x.ListAt, x.Watched, x.Old
 	s.silent, s.unusableAt = x.Silent, x.UnusableAt
+	if s.set.Pushed { // the watch of the process before is over, and ours is yet to begin
+		s.unwatch()
+	}
 	maps.Copy(s.turned, x.Turned)
 	maps.Copy(s.room, x.Room)
 	for _, id := range x.Banned {
--- a/logic/membership_test.go
+++ b/logic/membership_test.go
@@ -78,3 +78,31 @@
 		}
 	}
 }
+
+// A process that takes over has no watch yet: the list is good for the grace from then on. An agent that is silent has
+// lost discovery, for it as for the one before.
+func TestTakeoverBeginsTheLeaseAnew(t *testing.T) {
+	for _, x := range []struct {
+		at     float64
+		silent bool
+		sent   bool
+	}{{20.5, false, true}, {21, false, false}, {21, true, true}} {
+		set := base()
+		set.Pushed, set.DrainGrace = true, Second
+		r := newRig(t, set)
+		r.step(0, list(1))
+		r.step(0.1, Endpoints{Form: ListWatched})
+		r.step(20)
+		s, err := Resume(set, 7, r.s.Save())
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.s = s
+		if x.silent {
+			r.step(20.4, Endpoints{Form: ListFailed, Silent: true})
+		}
+		if n := len(only[CallOut](r.step(x.at, r.call(0)))); (n == 1) != x.sent {
+			t.Errorf("%+v: %d sends", x, n)
+		}
+	}
+}
