--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -16,6 +16,11 @@
 // answerLimit is how long a client waits for the answer to a request.
 const answerLimit = 400 * time.Millisecond
 
+const (
+	pipelineMost = 6  // requests that some clients send in one write
+	crowdSize    = 90 // idle connections that come at once
+)
+
 // Request is a message as the client that handed it in saw it.
 type Request struct {
 	ID       string
@@ -80,7 +85,7 @@
 		if c.conn == nil && !c.dial() {
 			continue
 		}
-		c.put()
+		c.put(1 + c.rng.IntN(2)*c.rng.IntN(2)*c.rng.IntN(pipelineMost))
 		if c.rng.IntN(20) == 0 {
 			c.hangUp()
 		}
@@ -103,34 +108,54 @@
 	}
 }
 
-// put hands one message in and notes what became of that.
-func (c *client) put() {
-	c.next++
-	span := c.load.least + time.Duration(c.rng.Int64N(int64(c.load.most-c.load.least)+1))
-	q := &Request{ID: fmt.Sprintf("%s-%d", c.name, c.next), Sender: c.sender, Time: span,
-		Class: c.load.classes[c.rng.IntN(len(c.load.classes))], Dest: c.rng.Int64N(c.load.dests)}
-	opts := fmt.Sprintf("c=%s,d=%d,dest=%d", q.Class, span.Milliseconds(), q.Dest)
-	if _, err := io.WriteString(c.conn, command("MSG.PUT", "0000", q.ID, opts, "body of "+q.ID)); err != nil {
+// put hands messages in, one behind the other in one write, and notes what became of each.
+func (c *client) put(count int) {
+	var sent []*Request
+	var text strings.Builder
+	for range count {
+		c.next++
+		span := c.load.least + time.Duration(c.rng.Int64N(int64(c.load.most-c.load.least)+1))
+		q := &Request{ID: fmt.Sprintf("%s-%d", c.name, c.next), Sender: c.sender, Time: span,
+			Class: c.load.classes[c.rng.IntN(len(c.load.classes))], Dest: c.rng.Int64N(c.load.dests)}
+		opts := fmt.Sprintf("c=%s,d=%d,dest=%d", q.Class, span.Milliseconds(), q.Dest)
+		text.WriteString(command("MSG.PUT", "0000", q.ID, opts, "body of "+q.ID))
+		sent = append(sent, q)
+	}
+	if _, err := io.WriteString(c.conn, text.String()); err != nil {
 		c.hangUp()
 		return
 	}
-	q.Sent = time.Now()
-	c.conn.SetReadDeadline(q.Sent.Add(answerLimit))
-	line, err := c.r.ReadString('\n')
-	switch {
-	case err == nil:
-		q.Answer, q.Answered = strings.TrimSpace(line), time.Now()
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		q.GaveUp = true
-	default:
-		q.Closed = time.Now()
+	at := time.Now()
+	c.conn.SetReadDeadline(at.Add(answerLimit))
+	var err error
+	for _, q := range sent {
+		q.Sent = at
+		if err == nil {
+			err = c.answer(q)
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			q.GaveUp = true
+		default:
+			q.Closed = time.Now()
+		}
+		c.out.add(q)
 	}
-	c.out.add(q)
 	if err != nil {
 		c.hangUp()
 	}
 }
 
+// answer reads the answer to a request.
+func (c *client) answer(q *Request) error {
+	line, err := c.r.ReadString('\n')
+	if err == nil {
+		q.Answer, q.Answered = strings.TrimSpace(line), time.Now()
+	}
+	return err
+}
+
 // command is a request in RESP2.
 func command(words ...string) string {
 	var b strings.Builder
@@ -141,6 +166,20 @@
 	return b.String()
 }
 
+// crowd opens idle connections and holds them for a while.
+func crowd(addr string, span time.Duration) {
+	var conns []net.Conn
+	for range crowdSize {
+		if conn, err := net.DialTimeout("tcp", addr, answerLimit); err == nil {
+			conns = append(conns, conn)
+		}
+	}
+	time.Sleep(span)
+	for _, conn := range conns {
+		conn.Close()
+	}
+}
+
 // badClient connects and sends what is no proper request, or none.
 func badClient(addr string, rng *rand.Rand) {
 	conn, err := net.DialTimeout("tcp", addr, answerLimit)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -38,6 +38,7 @@
 		p.planDiscovery(w, s, rng)
 		p.planProcess(w, s, rng)
 		p.planClients(w, s, rng)
+		p.planCrowds(w, s, rng)
 	}
 	return p
 }
@@ -182,6 +183,12 @@
 	}
 }
 
+// planCrowds has idle connections come at once.
+func (p *Plan) planCrowds(w *World, s *process, rng *rand.Rand) {
+	at, length := span(w, rng)
+	p.add(at, s.name+": a crowd of idle clients", func() error { crowd(s.listen, length); return nil })
+}
+
 // play does each step at its time and returns the errors.
 func (w *World) play(ctx context.Context, p *Plan) (failures []string) {
 	begun := time.Now()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -32,18 +32,20 @@
 
 	dests          = 3
 	endpointsEach  = 3
-	clientsEach    = 3
+	clientsEach    = 4
 	maxAttempts    = 6
 	keyedWindow    = 3 * time.Second
 	messageLeast   = 1500 * time.Millisecond
 	messageMost    = 6 * time.Second
-	clientPause    = 60 * time.Millisecond
 	terminateAfter = 3700 * time.Millisecond // from SIGTERM to SIGKILL at a planned restart
 	restartPause   = 600 * time.Millisecond  // from SIGKILL to the next start
 	moveLinger     = 1500 * time.Millisecond // for which an old address of discovery keeps its connections
 	rejectWait     = 700 * time.Millisecond
 )
 
+// clientPauses are the mean times between two messages of a sender's clients: some rest for long on their connections.
+var clientPauses = []time.Duration{60 * time.Millisecond, 60 * time.Millisecond, 40 * time.Millisecond, time.Second}
+
 // World is one run: senders, their agents, endpoints and clients.
 type World struct {
 	cfg       Config
@@ -71,7 +73,7 @@
 		for k := range clientsEach {
 			c := &client{name: fmt.Sprintf("m%d.%d", i, k), sender: i, addr: s.listen, out: &w.requests, stop: stop,
 				rng:  rand.New(rand.NewPCG(cfg.Seed, uint64(1000+i*clientsEach+k))),
-				load: load{[]string{classSafe, classKeyed, classUnsafe}, dests, clientPause, messageLeast, messageMost}}
+				load: load{[]string{classSafe, classKeyed, classUnsafe}, dests, clientPauses[k%len(clientPauses)], messageLeast, messageMost}}
 			clients.Go(c.run)
 		}
 	}
