Test, failing: a request read while its connection is closed has no answer

Real processes, 100 clients that send one request after the other on kept connections, SIGTERM, and the process held up for 1 to 9 ms again and again while it closes them. A client that reads the end of the stream and 0.15 s later still has its socket in CLOSE_WAIT had its request read: what is unread at a close, or comes after it, brings a reset.

--- /dev/null
+++ b/internal/node/close_process_test.go
@@ -0,0 +1,111 @@
+package node
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"crossdeal/internal/discovery"
+)
+
+// closeSettle is how long a reset may take to arrive behind the end of a stream.
+const closeSettle = 150 * time.Millisecond
+
+// tcpCloseWait is the state of a socket whose peer has ended its sending and has reset nothing (TCP_CLOSE_WAIT).
+const tcpCloseWait = 8
+
+// wasRead says of a connection that has ended under a request whether the sender had read all that was written to it:
+// what lies unread at a close, or comes after it, brings a reset.
+func wasRead(t *testing.T, conn net.Conn) bool {
+	t.Helper()
+	time.Sleep(closeSettle)
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Error(err)
+		return false
+	}
+	state := 0
+	raw.Control(func(fd uintptr) {
+		state, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+	})
+	return err == nil && state&0xff == tcpCloseWait // the state is the first byte of the structure
+}
+
+// closeTally counts how requests ended that were written to connections which a sender closes.
+type closeTally struct {
+	answered atomic.Int64
+	crossed  atomic.Int64 // the connection was reset
+	lost     atomic.Int64 // read, and the connection ended with no answer
+}
+
+// sendUntilClosed sends one request after the other on a connection until the sender ends it.
+func (x *closeTally) sendUntilClosed(t *testing.T, conn net.Conn, requests []string, rng *rand.Rand) {
+	r := bufio.NewReader(conn)
+	for i := 0; ; i++ {
+		time.Sleep(time.Duration(rng.Int64N(int64(4 * time.Millisecond))))
+		if _, err := io.WriteString(conn, requests[i%len(requests)]); err != nil {
+			x.crossed.Add(1)
+			return
+		}
+		_, err := r.ReadString('\n')
+		switch {
+		case err == nil:
+			x.answered.Add(1)
+			continue
+		case errors.Is(err, io.EOF) && wasRead(t, conn):
+			x.lost.Add(1)
+		default:
+			x.crossed.Add(1)
+		}
+		return
+	}
+}
+
+// holdUp stops a process again and again for a few milliseconds, until a time is over.
+func holdUp(x *process, rng *rand.Rand, until time.Time) {
+	for time.Now().Before(until) {
+		x.cmd.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(time.Millisecond + time.Duration(rng.Int64N(int64(8*time.Millisecond))))
+		x.cmd.Process.Signal(syscall.SIGCONT)
+		time.Sleep(100*time.Microsecond + time.Duration(rng.Int64N(int64(400*time.Microsecond))))
+	}
+}
+
+// A request that comes while its connection is being closed was read and dropped: its client had neither an answer nor a reset.
+func TestRequestReadAtACloseIsAnswered(t *testing.T) {
+	const clients, runs = 100, 3
+	rng := rand.New(rand.NewPCG(1, 1))
+	requests := []string{respText("PING"), respText("MSG.PUT", "0", "a", "c=safe,t=acme,d=9000,dest=1", "x")}
+	var tally closeTally
+	for range runs {
+		p := newPlatform(t)
+		known := discovery.List{Generation: 1, Reset: true, Instances: instances(newEndpoint(t))}
+		p.list = known
+		x := startProcess(t, p, t.TempDir(), known)
+		var all sync.WaitGroup
+		for i := range clients {
+			conn := dial(t, x.addr).conn
+			seed := rng.Uint64()
+			all.Go(func() { tally.sendUntilClosed(t, conn, requests, rand.New(rand.NewPCG(seed, uint64(i)))) })
+		}
+		time.Sleep(50 * time.Millisecond)
+		x.term()
+		time.Sleep(acceptOn - 20*time.Millisecond)
+		holdUp(x, rng, time.Now().Add(700*time.Millisecond))
+		all.Wait()
+		x.kill()
+	}
+	if n := tally.lost.Load(); n > 0 {
+		t.Errorf("%d requests were read and have no answer (%d answered, %d crossed the close)", n, tally.answered.Load(), tally.crossed.Load())
+	}
+	if tally.answered.Load() < clients*runs {
+		t.Errorf("%d requests were answered", tally.answered.Load())
+	}
+}
