Split the clients' table by job; log how requests and connections end

What the incident's log could not say: how many requests a sender read, how many it answered, why each connection was closed and whether bytes were read at its close and thrown away. Now in the calls line (requests, answers, closed_REASON, closed_dropped) and in a line at the process's end; the debug log has peer, reason, requests owed and bytes dropped for each connection.

clients.go becomes the table, the connection with its states (idle, reading, answering, parked, closing) and their allowed transitions, its close, its eviction, its handover and the request's parser, a file each. Tests make connections by the new constructor.

--- a/internal/node/close_test.go
+++ b/internal/node/close_test.go
@@ -57,8 +57,9 @@
 func serveSide(c *clients, conn net.Conn, first time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.conns[conn] = &standing{since: time.Now()}
-	c.start(conn, first)
+	x := newClientConn(c, conn, time.Now())
+	c.conns[conn] = x
+	c.start(x, first)
 }
 
 // A client makes room in the moment in which the last byte of its first request has come: the request has been read, so
--- a/internal/node/crowd_test.go
+++ b/internal/node/crowd_test.go
@@ -61,7 +61,7 @@
 		if len(c.conns) >= c.most && !c.makeRoom(rankNew) {
 			t.Fatalf("connection %d is turned away", i)
 		}
-		c.conns[mine] = &standing{since: time.Now()}
+		c.conns[mine] = newClientConn(c, mine, time.Now())
 	}
 	if len(c.conns) > c.most {
 		t.Errorf("%d connections in a table of %d", len(c.conns), c.most)
@@ -116,7 +116,8 @@
 	for range c.most {
 		mine, theirs := net.Pipe()
 		t.Cleanup(func() { theirs.Close() })
-		c.conns[mine] = &standing{since: time.Now().Add(-time.Minute), proven: true}
+		c.conns[mine] = newClientConn(c, mine, time.Now().Add(-time.Minute))
+		c.conns[mine].proven = true
 	}
 	e := newEndpoint(t)
 	x := newCaller(time.Second, time.Minute, 100, 100)
--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -25,6 +25,7 @@
 	ruleAttempts    rule = "attempts"    // no more attempts than the settings allow
 	ruleRepeat      rule = "repeat"      // what may have run is repeated only as its class allows
 	ruleDeadline    rule = "deadline"    // nothing after a message's time
+	ruleState       rule = "state"       // a client's connection goes from state to state as it may
 	ruleAnswer      rule = "answer"      // a request that was read has its answer before its connection is closed
 	ruleEnd         rule = "end"         // a message ends once
 	ruleStart       rule = "start"       // what the journal holds at a start is held, or its end is told
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -49,7 +49,7 @@
 	quiet := false // shutting down, and no client is left
 	for {
 		if quiet && n.open == 0 && len(n.journal.entries) == 0 {
-			n.log.Info("stopped", "owed", 0, "violations", n.guard.violations())
+			n.stopped()
 			return nil
 		}
 		select {
@@ -81,7 +81,7 @@
 			continue
 		case <-stopped:
 			// What is still out stays in the journal as it is.
-			n.log.Info("stopped", "owed", len(n.journal.entries), "violations", n.guard.violations())
+			n.stopped()
 			return nil
 		}
 		for more := true; more; {
@@ -119,6 +119,13 @@
 	}
 }
 
+// stopped writes the last lines of a process: what became of calls and clients since the last tally, and what is owed.
+func (n *Node) stopped() {
+	n.log.Info("clients at the end", n.clients.report()...)
+	n.tally()
+	n.log.Info("stopped", "owed", len(n.journal.entries), "violations", n.guard.violations())
+}
+
 // take turns what has come into events for the next step.
 func (n *Node) take(ev any) {
 	switch ev := ev.(type) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -538,10 +538,10 @@
 		}
 	}
 	served := newClients(&Config{}, slog.New(slog.DiscardHandler), nil)
-	served.closing, served.conns[conn] = true, &standing{}
+	x := newClientConn(served, conn, time.Time{})
+	served.closing, served.conns[conn] = true, x
 	conn.SetReadDeadline(time.Now())
-	served.handle(conn, time.Now().Add(requestTime))
-	conn.Close()
+	x.run(time.Now().Add(requestTime))
 	if got := c.line(); got != "+PONG" {
 		t.Errorf("got %q", got)
 	}
@@ -564,7 +564,7 @@
 		served.mu.Lock()
 		begun := false
 		for _, x := range served.conns {
-			begun = begun || x.busy
+			begun = begun || x.state == connReading
 		}
 		served.mu.Unlock()
 		if begun {
