Leave requests that come at a close unread instead of reading and dropping them

Cause: endClient ended its sending and then read and threw away what came for up to 20 ms, so that unread bytes would not reset the connection over an answer still under way. A request that came between the last look and that reading was dropped.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -38,8 +38,9 @@
 // clientConn is one connection of a client. Its reader owns it, but for what the table's lock guards.
 type clientConn struct {
 	net.Conn
-	table *clients
-	r     *bufio.Reader
+	table  *clients
+	r      *bufio.Reader
+	sealed bool // nothing more is read from the system
 
 	// What follows is guarded by the table's lock.
 	state     connState
@@ -59,6 +60,9 @@
 
 // Read reads what has come, also where the deadline is over: a request whose last byte is there is owed its answer.
 func (x *clientConn) Read(b []byte) (int, error) {
+	if x.sealed {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := x.Conn.Read(b)
 	for n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && x.mayReadOn() {
 		x.SetReadDeadline(time.Now().Add(acceptPause))
@@ -72,6 +76,9 @@
 	return n, err
 }
 
+// stopReading ends the reading: what has not been read yet stays unread.
+func (x *clientConn) stopReading() { x.sealed = true }
+
 // mayReadOn says whether bytes have come that may be read past a deadline, for a moment in all. At a handover they are
 // left to whoever goes on.
 func (x *clientConn) mayReadOn() bool {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -29,7 +29,6 @@
 	maxIDLen     = 128
 	stallTime    = 300 * time.Millisecond // a peer that sends nothing for so long, its first request not whole, stands still
 	acceptPause  = 5 * time.Millisecond
-	closeLinger  = 20 * time.Millisecond // bytes that come while a connection is closed are read for so long
 	answerOK     = "+OK\r\n"
 	answerFailed = "-ERR failed\r\n"
 )
@@ -67,7 +66,7 @@
 	away     int // connections turned away
 	requests int // read whole
 	answers  int // written
-	dropped  int // connections with bytes that were read at their close and thrown away
+	unread   int // connections closed over unread bytes: their clients see a reset
 	closes   map[closeReason]int
 }
 
@@ -151,10 +150,10 @@
 	for _, reason := range slices.Sorted(maps.Keys(c.closes)) {
 		out = append(out, "closed_"+string(reason), c.closes[reason])
 	}
-	if c.dropped > 0 {
-		out = append(out, "closed_dropped", c.dropped)
+	if c.unread > 0 {
+		out = append(out, "closed_over_unread", c.unread)
 	}
-	c.away, c.requests, c.answers, c.dropped = 0, 0, 0, 0
+	c.away, c.requests, c.answers, c.unread = 0, 0, 0, 0
 	clear(c.closes)
 	return out
 }
