Hold a call that is not written yet once its message has ended or the call is called off

A message could be forwarded after its end: a call on a kept connection is decided by the loop and written by a goroutine of its own, which asked nobody in between; where that began late, the message's notice came first. New connections ask for leave and were right. No break was seen: found by reading every path from a message's end to its calls for the incident's rule.

TestCallIsNotWrittenAfterItsMessageHasEnded and TestCallIsNotWrittenOnceCalledOff: before, the calls were written (outcomes timed out and called off); after, they end as never sent and the endpoint sees nothing. The end of a message takes the call from connecting to held in one step before its notice is queued; a call whose context is over is not written on a connection that is up.

--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -142,7 +142,8 @@
 	if err == nil && conn != in.kept && in.allow != nil && !in.allow(ctx) {
 		in.state.CompareAndSwap(callConnecting, callHeld)
 	}
-	if !in.writeBy.IsZero() && time.Now().After(in.writeBy) {
+	late := !in.writeBy.IsZero() && time.Now().After(in.writeBy)
+	if late || err == nil && ctx.Err() != nil {
 		in.state.CompareAndSwap(callConnecting, callHeld)
 	}
 	if !in.state.CompareAndSwap(callConnecting, callWritten) {
--- a/internal/node/crossing_test.go
+++ b/internal/node/crossing_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"crossdeal/internal/clock"
 	"crossdeal/internal/discovery"
 	"crossdeal/logic"
 )
@@ -67,6 +68,44 @@
 	}
 }
 
+// A message was forwarded after its end: its call was decided before and written after, on a kept connection.
+func TestCallIsNotWrittenAfterItsMessageHasEnded(t *testing.T) {
+	e, c := newEndpoint(t), testCaller()
+	got := goDo(t.Context(), c, newCall(t, e.addr(), "hello", patience))
+	await(t, e.calls, "call").reply(200)
+	await(t, got, "result")
+	for range 50 {
+		in := newCall(t, e.addr(), "hello", patience)
+		in.kept = c.take(in.ep, in.addr)
+		ctx, stop := context.WithCancelCause(t.Context())
+		h := &held{msg: &Message{ID: in.id}, call: in, stop: stop}
+		n := &Node{held: map[string]*held{in.id: h}, open: 1, recent: map[string]time.Time{}, clock: clock.New()}
+		n.finish(in.id, h) // before its goroutine has begun
+		if r := c.do(ctx, in); r.outcome != logic.Moot {
+			t.Fatalf("got %+v", r)
+		}
+	}
+	e.none(t)
+}
+
+// A call was written although it had been called off before its first byte.
+func TestCallIsNotWrittenOnceCalledOff(t *testing.T) {
+	e, c := newEndpoint(t), testCaller()
+	got := goDo(t.Context(), c, newCall(t, e.addr(), "hello", patience))
+	await(t, e.calls, "call").reply(200)
+	await(t, got, "result")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	for range 50 {
+		in := newCall(t, e.addr(), "hello", patience)
+		in.kept = c.take(in.ep, in.addr)
+		if r := c.do(ctx, in); r.outcome != logic.Moot {
+			t.Fatalf("got %+v", r)
+		}
+	}
+	e.none(t)
+}
+
 // A connection that comes up when the call's time is over is not written to: nothing of it runs late.
 func TestConnectionComesUpAfterTheDeadline(t *testing.T) {
 	e, c := newEndpoint(t), testCaller()
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -142,7 +142,8 @@
 	return o != logic.Full && o != logic.RefusedConn && o != logic.Moot
 }
 
-// finish takes a message off the books; its id is remembered until its time is up.
+// finish takes a message off the books; its id is remembered until its time is up. A call of it that is out and not
+// written yet never is.
 func (n *Node) finish(id string, h *held) {
 	if h.over {
 		n.guard.violation(ruleEnd, "id", id)
@@ -153,7 +154,9 @@
 	n.recent[id] = n.clock.Time(h.msg.Deadline)
 	if h.stop == nil {
 		delete(n.held, id)
+		return
 	}
+	h.hold()
 }
 
 // answers finds the messages that the module ends in the step in which they came:
