Test each way to close a client's connection under whole, half, several and crossing requests

TestEachCloseAnswersWhatWasRead: five ways to a close, seven forms of what has come (several requests in one write, more than the reader's buffer holds, half a request or none behind whole ones, a client that has ended its sending): each whole request has its answer. A peer whose rest is no request now gets its error line also where the connection is being closed; two cases failed before that (one answer, want two). TestRequestThatCrossesACloseIsReset has a request come between the last look and the close, by force, on each way: its client sees a reset. With the old reading at the close put back it fails on each way.

--- a/internal/node/client_close.go
+++ b/internal/node/client_close.go
@@ -96,6 +96,7 @@
 		x.SetReadDeadline(by)
 		args, err := readCommand(x.r)
 		if err != nil {
+			x.unreadable(err)
 			break
 		}
 		x.whole()
@@ -137,12 +138,12 @@
 // reset that a close over unread bytes sends would overtake those that are still under way. It reads nothing. The end of
 // the sending counts as one byte and is acknowledged without delay.
 func (x *clientConn) awaitDelivery() {
-	tcp, ok := x.Conn.(*net.TCPConn)
-	if !ok || tcp.CloseWrite() != nil {
+	half, ok := x.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
 		return
 	}
 	for by := time.Now().Add(closeWait); time.Now().Before(by); time.Sleep(closeLook) {
-		left, err := socketCount(tcp, unix.SIOCOUTQ)
+		left, err := socketCount(x.Conn, unix.SIOCOUTQ)
 		if err == nil && left == 0 {
 			return
 		}
--- a/internal/node/close_test.go
+++ b/internal/node/close_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"io"
 	"log/slog"
 	"net"
 	"strings"
@@ -121,3 +122,148 @@
 		}
 	}
 }
+
+// crossedConn is the sender's end of a connection on which a request comes while it is closed.
+type crossedConn struct {
+	*net.TCPConn
+	cross func()
+}
+
+func (c *crossedConn) CloseWrite() error {
+	c.cross()
+	return c.TCPConn.CloseWrite()
+}
+
+// closePaths are ways in which a connection is closed on which some bytes have come. Each begins to serve it.
+var closePaths = map[string]func(c *clients, x *clientConn){
+	"no first request in time": func(c *clients, x *clientConn) { c.start(x, time.Now().Add(-time.Second)) },
+	"a request not in time":    func(c *clients, x *clientConn) { c.start(x, time.Now().Add(100*time.Millisecond)) },
+	"made room": func(c *clients, x *clientConn) {
+		x.advance(connClosing)
+		c.start(x, time.Time{})
+	},
+	"shutdown": func(c *clients, x *clientConn) {
+		c.closing = true
+		c.start(x, time.Time{})
+	},
+	"end of a shutdown": func(c *clients, x *clientConn) {
+		c.closing, c.until = true, time.Now().Add(-time.Second)
+		c.start(x, time.Time{})
+	},
+}
+
+// A connection that was closed under requests that had been read left some of them without an answer.
+func TestEachCloseAnswersWhatWasRead(t *testing.T) {
+	whole := func(ids ...string) (text string) {
+		for _, id := range ids {
+			text += respText(putWords(id)...)
+		}
+		return text
+	}
+	half := whole("h")[:20]
+	for path, begin := range closePaths {
+		for form, x := range map[string]struct {
+			text string
+			want int
+			shut bool // the client ends its sending
+		}{
+			"one":                      {whole("a"), 1, false},
+			"several":                  {whole("a", "b", "c"), 3, false},
+			"more than a buffer holds": {strings.Repeat(whole("a"), 200), 200, false},
+			"one and a half":           {whole("a") + half, 1, false},
+			"one and no request":       {whole("a") + "nonsense\r\n", 2, false},
+			"two, then no more":        {whole("a", "b"), 2, true},
+			"one and a half, no more":  {whole("a") + half, 1, true},
+		} {
+			t.Run(path+"/"+form, func(t *testing.T) {
+				c, side := answeringClients(t), connect(t)
+				io.WriteString(side.conn, x.text)
+				if x.shut {
+					side.conn.(*net.TCPConn).CloseWrite()
+				}
+				await(t, seen(side.served, len(x.text)), "bytes of the client")
+				c.mu.Lock()
+				conn := newClientConn(c, side.served, time.Now())
+				c.conns[side.served] = conn
+				begin(c, conn)
+				c.mu.Unlock()
+				got := 0
+				for side.line() != "" {
+					if got++; got == x.want { // where the connection goes on, its client ends it
+						side.conn.(*net.TCPConn).CloseWrite()
+					}
+				}
+				if got != x.want {
+					t.Errorf("%d answers, want %d", got, x.want)
+				}
+				c.wg.Wait()
+				if n := c.guard.violations(); n != 0 {
+					t.Errorf("%d violations", n)
+				}
+			})
+		}
+	}
+}
+
+// seen tells once so many bytes wait to be read.
+func seen(conn net.Conn, count int) <-chan bool {
+	ch := make(chan bool, 1)
+	go func() {
+		for available(conn) < count {
+			time.Sleep(time.Millisecond)
+		}
+		ch <- true
+	}()
+	return ch
+}
+
+// A request that came while its connection was closed was read and dropped, on each way to a close.
+func TestRequestThatCrossesACloseIsReset(t *testing.T) {
+	for path, begin := range closePaths {
+		t.Run(path, func(t *testing.T) {
+			c, side := answeringClients(t), connect(t)
+			side.send(putWords("a")...)
+			await(t, seen(side.served, 1), "first request")
+			late := respText(putWords("late")...)
+			served := &crossedConn{side.served.(*net.TCPConn), func() {
+				io.WriteString(side.conn, late)
+				await(t, seen(side.served, len(late)), "request that crosses")
+			}}
+			c.mu.Lock()
+			conn := newClientConn(c, served, time.Now())
+			c.conns[served] = conn
+			begin(c, conn)
+			c.mu.Unlock()
+			if got := side.line(); got != "+OK" && !strings.HasPrefix(got, "-BUSY") {
+				t.Errorf("first request: %q", got)
+			}
+			stop := idleTooLong(served)
+			if got := side.line(); got != "" {
+				t.Errorf("then %q", got)
+			}
+			c.wg.Wait()
+			stop()
+			time.Sleep(10 * time.Millisecond)
+			if wasRead(t, side.conn) {
+				t.Error("the request that crossed was read")
+			}
+		})
+	}
+}
+
+// idleTooLong ends the wait for a next request on a connection that goes on, again and again until it is stopped.
+func idleTooLong(conn net.Conn) (stop func()) {
+	tick, over := time.NewTicker(time.Millisecond), make(chan bool)
+	go func() {
+		for {
+			select {
+			case <-tick.C:
+				conn.SetReadDeadline(time.Now())
+			case <-over:
+				tick.Stop()
+				return
+			}
+		}
+	}()
+	return func() { close(over) }
+}
