Soak: judge each unanswered request as read or crossed; signals in series, hold-ups in ends and starts

The soak counted none of the incident's requests: it exempted a close unless the message was sent, and all within 0.5 s of a process's end. Now a client that reads the end of a stream looks whether the sender had read its requests (CLOSE_WAIT up to 1 s later); only SIGKILL excuses. Answers are compared with the forms that the protocol has; a call after -BUSY, -ERR or the message's notice is a violation; messages of clients that gave up and were sent are counted apart.

Clients now also send with hardly a pause, rest until the sender ends the connection and send then, write requests in two parts, and end their sending behind requests; crowds are up to 300 (over the table's 128). Processes get SIGTERM twice, in the middle of a start, between two SIGHUP; SIGKILL right behind an answer and twice in a row; and are held up in a series of 20 ms at most, 0.15 s in all, while they close connections, end, start and hand over. A process that SIGTERM ends before it handles signals has not crashed. The judge's own test has a case for each new check; its case of a late repeat now has its notice behind the repeat, since a call after a notice is a breach of its own.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -10,6 +10,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -17,8 +18,25 @@
 const answerLimit = 400 * time.Millisecond
 
 const (
-	pipelineMost = 6  // requests that some clients send in one write
-	crowdSize    = 90 // idle connections that come at once
+	pipelineMost = 6                // requests that some clients send in one write
+	crowdLeast   = 60               // idle connections that come at once
+	crowdMost    = 300              // more than a sender's table holds
+	restMost     = 20 * time.Second // for which a client rests on a connection until the sender ends it
+	splitPause   = 5 * time.Millisecond
+	settleMost   = time.Second // for a sender that is held up to finish a close that it has begun
+	settleLook   = 20 * time.Millisecond
+)
+
+// habit is how a client uses its connections.
+type habit int
+
+const (
+	habitPlain   habit = iota // one or some requests, then a pause
+	habitBusy                 // hardly a pause
+	habitRest                 // one request, then none until the sender ends the connection: the next crosses that
+	habitSplit                // requests in two writes, whole ones before half of one
+	habitHalfEnd              // ends its sending behind its requests, and reads the answers
+	habits                    // the number of them
 )
 
 // Request is a message as the client that handed it in saw it.
@@ -29,15 +47,19 @@
 	Dest     int64
 	Sent     time.Time     // its last byte was written
 	Time     time.Duration // for which it may be delivered
-	Answer   string        // first word of the answer; empty if none came
+	Answer   string        // line that came back, with its end; empty if none came
 	Answered time.Time
 	Closed   time.Time // its connection was ended with no answer; zero if it was not
+	WasRead  bool      // and the sender had read all of it
 	GaveUp   bool      // the client stopped waiting
 }
 
 // Accepted says whether the sender owes the message its end, and the client knows.
 func (r *Request) Accepted() bool { return strings.HasPrefix(r.Answer, "+") }
 
+// Refused says whether the client knows that the message was not accepted.
+func (r *Request) Refused() bool { return strings.HasPrefix(r.Answer, "-") }
+
 // requests keeps what clients handed in.
 type requests struct {
 	mu   sync.Mutex
@@ -55,14 +77,16 @@
 	name   string
 	sender int
 	addr   string
+	habit  habit
 	load   load
 	rng    *rand.Rand
 	out    *requests
 	stop   <-chan struct{}
 
-	conn net.Conn
-	r    *bufio.Reader
-	next int
+	conn   net.Conn
+	r      *bufio.Reader
+	next   int
+	closes sync.WaitGroup // looks at connections that the sender has ended
 }
 
 // load is what clients hand in.
@@ -75,6 +99,7 @@
 }
 
 func (c *client) run() {
+	defer c.closes.Wait()
 	defer c.hangUp()
 	for {
 		select {
@@ -86,12 +111,24 @@
 			continue
 		}
 		c.put(1 + c.rng.IntN(2)*c.rng.IntN(2)*c.rng.IntN(pipelineMost))
+		if c.conn != nil && c.habit == habitRest {
+			c.restUntilEnded()
+		}
 		if c.rng.IntN(20) == 0 {
 			c.hangUp()
 		}
 	}
 }
 
+// restUntilEnded waits until the sender ends the connection, and hands a message in at that moment.
+func (c *client) restUntilEnded() {
+	c.conn.SetReadDeadline(time.Now().Add(time.Duration(c.rng.Int64N(int64(restMost)))))
+	if _, err := c.r.Peek(1); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return
+	}
+	c.put(1)
+}
+
 func (c *client) dial() bool {
 	conn, err := net.DialTimeout("tcp", c.addr, answerLimit)
 	if err != nil {
@@ -113,21 +150,18 @@
 	var sent []*Request
 	var text strings.Builder
 	for range count {
-		c.next++
-		span := c.load.least + time.Duration(c.rng.Int64N(int64(c.load.most-c.load.least)+1))
-		q := &Request{ID: fmt.Sprintf("%s-%d", c.name, c.next), Sender: c.sender, Time: span,
-			Class: c.load.classes[c.rng.IntN(len(c.load.classes))], Dest: c.rng.Int64N(c.load.dests)}
-		opts := fmt.Sprintf("c=%s,d=%d,dest=%d", q.Class, span.Milliseconds(), q.Dest)
-		text.WriteString(command("MSG.PUT", "0000", q.ID, opts, "body of "+q.ID))
+		q := c.newRequest()
+		text.WriteString(q.text())
 		sent = append(sent, q)
 	}
-	if _, err := io.WriteString(c.conn, text.String()); err != nil {
+	if err := c.write(text.String()); err != nil {
 		c.hangUp()
 		return
 	}
 	at := time.Now()
 	c.conn.SetReadDeadline(at.Add(answerLimit))
 	var err error
+	var unanswered []*Request
 	for _, q := range sent {
 		q.Sent = at
 		if err == nil {
@@ -139,23 +173,94 @@
 			q.GaveUp = true
 		default:
 			q.Closed = time.Now()
+			unanswered = append(unanswered, q)
 		}
 		c.out.add(q)
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, io.EOF) && c.habit != habitHalfEnd:
+		c.leaveTo(unanswered)
+	case err != nil || c.habit == habitHalfEnd:
 		c.hangUp()
 	}
 }
 
+func (c *client) newRequest() *Request {
+	c.next++
+	span := c.load.least + time.Duration(c.rng.Int64N(int64(c.load.most-c.load.least)+1))
+	return &Request{ID: fmt.Sprintf("%s-%d", c.name, c.next), Sender: c.sender, Time: span,
+		Class: c.load.classes[c.rng.IntN(len(c.load.classes))], Dest: c.rng.Int64N(c.load.dests)}
+}
+
+// text is the request as it is written.
+func (r *Request) text() string {
+	opts := fmt.Sprintf("c=%s,d=%d,dest=%d", r.Class, r.Time.Milliseconds(), r.Dest)
+	return command("MSG.PUT", "0000", r.ID, opts, "body of "+r.ID)
+}
+
+// write sends a text as the client's habit has it.
+func (c *client) write(text string) error {
+	if c.habit == habitSplit {
+		cut := 1 + c.rng.IntN(len(text)-1)
+		if _, err := io.WriteString(c.conn, text[:cut]); err != nil {
+			return err
+		}
+		time.Sleep(time.Duration(c.rng.Int64N(int64(splitPause))))
+		text = text[cut:]
+	}
+	if _, err := io.WriteString(c.conn, text); err != nil {
+		return err
+	}
+	if c.habit == habitHalfEnd {
+		return c.conn.(*net.TCPConn).CloseWrite()
+	}
+	return nil
+}
+
 // answer reads the answer to a request.
 func (c *client) answer(q *Request) error {
 	line, err := c.r.ReadString('\n')
 	if err == nil {
-		q.Answer, q.Answered = strings.TrimSpace(line), time.Now()
+		q.Answer, q.Answered = line, time.Now()
 	}
 	return err
 }
 
+// leaveTo leaves a connection that the sender has ended, and finds out whether it had read the requests without an answer.
+func (c *client) leaveTo(unanswered []*Request) {
+	conn := c.conn
+	c.conn = nil
+	c.closes.Go(func() {
+		defer conn.Close()
+		read := wasRead(conn)
+		for _, q := range unanswered {
+			q.WasRead = read
+		}
+	})
+}
+
+// tcpCloseWait is the state of a socket whose peer has ended its sending and has reset nothing (TCP_CLOSE_WAIT).
+const tcpCloseWait = 8
+
+// wasRead says of a connection that the sender has ended whether it had read all that was written to it: what lies unread
+// at its close, or comes after it, brings a reset.
+func wasRead(conn net.Conn) bool {
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	for by := time.Now().Add(settleMost); time.Now().Before(by); time.Sleep(settleLook) {
+		state := 0
+		raw.Control(func(fd uintptr) {
+			state, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
+		})
+		if err != nil || state&0xff != tcpCloseWait { // the state is the first byte of the structure
+			return false
+		}
+	}
+	return true
+}
+
 // command is a request in RESP2.
 func command(words ...string) string {
 	var b strings.Builder
@@ -167,9 +272,9 @@
 }
 
 // crowd opens idle connections and holds them for a while.
-func crowd(addr string, span time.Duration) {
+func crowd(addr string, size int, span time.Duration) {
 	var conns []net.Conn
-	for range crowdSize {
+	for range size {
 		if conn, err := net.DialTimeout("tcp", addr, answerLimit); err == nil {
 			conns = append(conns, conn)
 		}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -1,9 +1,13 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
+	"os/exec"
+	"regexp"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
 	"crossdeal/internal/scale/standin"
@@ -17,14 +21,17 @@
 	Delivered  int
 	Calls      int
 	GaveUp     int      // clients that had no answer in time
+	Forwarded  int      // of those, messages that were sent all the same
+	Crossed    int      // requests that were not answered since their connections were reset
 	Late       int      // messages that ended, but later than they had to
 	Unknowable int      // calls to what drained while no process lived, whose agent then was silent until after the call
 	Violations []string // a line each
 }
 
 func (r *Report) String() string {
-	return fmt.Sprintf("seed %d: %d requests, %d accepted, %d delivered, %d calls, %d clients gave up, %d late ends, %d calls that could not know better, %d violations",
-		r.Seed, r.Requests, r.Accepted, r.Delivered, r.Calls, r.GaveUp, r.Late, r.Unknowable, len(r.Violations))
+	return fmt.Sprintf("seed %d: %d requests, %d accepted, %d delivered, %d calls, %d clients gave up (%d of their messages sent), "+
+		"%d requests crossed a close, %d late ends, %d calls that could not know better, %d violations", r.Seed, r.Requests, r.Accepted,
+		r.Delivered, r.Calls, r.GaveUp, r.Forwarded, r.Crossed, r.Late, r.Unknowable, len(r.Violations))
 }
 
 func (r *Report) violate(rule, format string, args ...any) {
@@ -66,6 +73,7 @@
 	for _, m := range messages {
 		w.judgeDrain(r, m)
 		judgeRepeats(r, m)
+		w.judgeAnswer(r, m)
 		w.judgeEnd(r, m)
 	}
 	slices.Sort(r.Violations)
@@ -123,12 +131,22 @@
 			r.violate("crash", "%s never ended", s.name)
 		case l.Term.IsZero() && l.Killed.IsZero():
 			r.violate("crash", "%s ended by itself: %v", s.name, l.Err)
-		case l.Err != nil && l.Killed.IsZero():
+		case l.Err != nil && l.Killed.IsZero() && !(l.Ready.IsZero() && endedBySignal(l.Err)):
 			r.violate("crash", "%s: %v", s.name, l.Err)
 		}
 	}
 }
 
+// endedBySignal says whether a process was ended by a signal that it had not begun to handle.
+func endedBySignal(err error) bool {
+	var exit *exec.ExitError
+	if !errors.As(err, &exit) {
+		return false
+	}
+	status, ok := exit.Sys().(syscall.WaitStatus)
+	return ok && status.Signaled() && status.Signal() == syscall.SIGTERM
+}
+
 // told is when a change counts as told to a sender.
 func (w *World) told(sender int, c Change) time.Time {
 	a := w.senders[sender].agent
@@ -219,8 +237,8 @@
 	if len(m.calls) > maxAttempts {
 		r.violate("attempts", "%s was sent %d times", m.ID, len(m.calls))
 	}
-	if len(m.calls) > 0 && strings.HasPrefix(m.Answer, "-BUSY") {
-		r.violate("refused", "%s was refused and sent to %s", m.ID, m.calls[0].Endpoint)
+	if len(m.calls) > 0 && m.Refused() {
+		r.violate("refused", "%s was answered %q and sent to %s", m.ID, m.Answer, m.calls[0].Endpoint)
 	}
 	for i, c := range m.calls {
 		due := m.Sent.Add(m.Time)
@@ -277,6 +295,42 @@
 	return false
 }
 
+// answerForms are the answers that the protocol has for a request in good form.
+var answerForms = regexp.MustCompile(`^(\+OK|-BUSY( [0-9]+)?|-ERR failed)\r\n$`)
+
+// judgeAnswer looks for requests without an answer that their sender had read or taken, and for answers that are none.
+func (w *World) judgeAnswer(r *Report, m *message) {
+	lives := w.senders[m.Sender].history()
+	switch {
+	case m.Answer != "":
+		if !answerForms.MatchString(m.Answer) {
+			r.violate("answer", "%s was answered %q", m.ID, m.Answer)
+		}
+	case m.GaveUp:
+		if len(m.calls) > 0 {
+			r.Forwarded++
+		}
+	case killedAround(lives, m.Closed): // what it had not answered then is cut off
+	case m.WasRead:
+		r.violate("answer", "%s was read by n%d and its connection closed with no answer at %s", m.ID, m.Sender, m.Closed.Format(clock))
+	case len(m.calls)+len(m.notices) > 0:
+		r.violate("answer", "%s was taken by n%d and its connection closed with no answer at %s", m.ID, m.Sender, m.Closed.Format(clock))
+	default:
+		r.Crossed++
+	}
+}
+
+// judgeAfterEnd looks for calls that come after the notice of their message's end.
+func judgeAfterEnd(r *Report, m *message) {
+	for _, n := range m.notices {
+		for _, c := range m.calls {
+			if late := c.First.Sub(n.At); late > limitSlack+machineSlack {
+				r.violate("ended", "%s was sent to %s %v after its notice (%s)", m.ID, c.Endpoint, late, n.State)
+			}
+		}
+	}
+}
+
 // judgeEnd looks for accepted messages without an end, and for ends that contradict each other or the client's answer.
 func (w *World) judgeEnd(r *Report, m *message) {
 	delivered, mayHaveRun := time.Time{}, false
@@ -294,10 +348,8 @@
 			r.violate("returned", "%s (%s) may have run and was returned", m.ID, m.Class)
 		}
 	}
+	judgeAfterEnd(r, m)
 	lives := w.senders[m.Sender].history()
-	if !m.Closed.IsZero() && len(m.calls)+len(m.notices) > 0 && !endedAround(lives, m.Closed) {
-		r.violate("answer", "%s was taken and its connection closed with no answer at %s", m.ID, m.Closed.Format(clock))
-	}
 	if !m.Accepted() {
 		return
 	}
@@ -340,15 +392,11 @@
 	return at
 }
 
-// endedAround says whether a process was killed, or ended, about a time: what it had not answered then is cut off.
-func endedAround(lives []Life, at time.Time) bool {
+// killedAround says whether a process was killed about a time.
+func killedAround(lives []Life, at time.Time) bool {
 	const about = 500 * time.Millisecond
-	for _, l := range lives {
-		for _, end := range []time.Time{l.Killed, l.Ended} {
-			if d := at.Sub(end); !end.IsZero() && d > -about && d < about {
-				return true
-			}
-		}
-	}
-	return false
+	return slices.ContainsFunc(lives, func(l Life) bool {
+		d := at.Sub(l.Killed)
+		return !l.Killed.IsZero() && d > -about && d < about
+	})
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -135,42 +135,20 @@
 	}
 }
 
-// planProcess restarts a sender, planned or not, holds it up, and moves its discovery.
+// planProcess restarts a sender, planned or not, with signals in series and hold-ups in its starts and ends, holds it up
+// at rest, and moves its discovery.
 func (p *Plan) planProcess(w *World, s *process, rng *rand.Rand) {
+	kinds := []processFault{killed, terminated, terminated, terminatedTwice, terminatedAtStart, hangupAroundTerm, killedBehindAnswer,
+		killedTwice, heldUp, upgraded, upgraded, moved, moved}
 	for at := 1500*time.Millisecond + time.Duration(rng.Int64N(int64(6*time.Second))); at < w.cfg.Span; {
-		switch rng.IntN(6) {
-		case 0:
-			p.add(at, s.name+": SIGKILL and start", func() error {
-				s.kill()
-				time.Sleep(restartPause)
-				return s.start()
-			})
-			at += 2 * time.Second
-		case 1:
-			p.add(at, s.name+": SIGTERM and start", func() error {
-				s.stop(terminateAfter)
-				time.Sleep(restartPause)
-				return s.start()
-			})
-			at += terminateAfter + 2*time.Second
-		case 2:
-			span := time.Duration(rng.Int64N(int64(freezeMost)))
-			p.add(at, fmt.Sprintf("%s: held up for %v", s.name, span), func() error { s.freeze(span); return nil })
-			at += time.Second
-		case 3:
-			p.add(at, s.name+": a new version takes over", func() error { return s.upgrade(terminateAfter) })
-			at += terminateAfter + time.Second
-		default:
-			generation := 1 + rng.Int64N(1000)
-			p.add(at, s.name+": SIGHUP, discovery moves", func() error {
-				if err := s.agent.move(generation, moveLinger); err != nil {
-					return err
-				}
-				return s.reload()
-			})
-			at += 2 * time.Second
-		}
-		at += time.Duration(rng.Int64N(int64(4 * time.Second)))
+		fault := kinds[rng.IntN(len(kinds))]
+		seed := rng.Uint64()
+		p.add(at, fmt.Sprintf("%s: %s", s.name, fault.what), func() error {
+			s.steps.Lock()
+			defer s.steps.Unlock()
+			return fault.do(w, s, rand.New(rand.NewPCG(seed, 0)))
+		})
+		at += fault.takes + time.Duration(rng.Int64N(int64(4*time.Second)))
 	}
 }
 
@@ -183,10 +161,13 @@
 	}
 }
 
-// planCrowds has idle connections come at once.
+// planCrowds has idle connections come at once, on some senders more than their tables hold.
 func (p *Plan) planCrowds(w *World, s *process, rng *rand.Rand) {
-	at, length := span(w, rng)
-	p.add(at, s.name+": a crowd of idle clients", func() error { crowd(s.listen, length); return nil })
+	for range 1 + rng.IntN(2) {
+		at, length := span(w, rng)
+		size := crowdLeast + rng.IntN(crowdMost-crowdLeast)
+		p.add(at, fmt.Sprintf("%s: a crowd of %d idle clients", s.name, size), func() error { crowd(s.listen, size, length); return nil })
+	}
 }
 
 // play does each step at its time and returns the errors.
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -33,6 +33,8 @@
 	agent   *agent
 	config  func(discovery string) []byte
 
+	steps sync.Mutex // faults of the process come one after the other
+
 	mu    sync.Mutex
 	cmd   *exec.Cmd
 	lives []*Life
@@ -49,28 +51,50 @@
 	return os.WriteFile(p.configPath(), p.config(p.agent.addr()), 0o600)
 }
 
+// running is a process that has been started.
+type running struct {
+	ready <-chan struct{} // closed once it is ready
+	ended <-chan struct{} // closed once it has ended
+}
+
 // start begins a process and waits until it is ready.
 func (p *process) start() error {
-	if err := os.MkdirAll(p.stateDir(), 0o700); err != nil {
+	x, err := p.begin()
+	if err != nil {
 		return err
 	}
+	select {
+	case <-x.ready:
+		return nil
+	case <-x.ended:
+		return fmt.Errorf("%s ended before it was ready", p.name)
+	case <-time.After(readyLimit):
+		return fmt.Errorf("%s was not ready within %v", p.name, readyLimit)
+	}
+}
+
+// begin starts a process.
+func (p *process) begin() (*running, error) {
+	if err := os.MkdirAll(p.stateDir(), 0o700); err != nil {
+		return nil, err
+	}
 	if err := p.writeConfig(); err != nil {
-		return err
+		return nil, err
 	}
 	log, err := os.OpenFile(filepath.Join(p.dir, "log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	cmd := exec.Command(p.program)
 	cmd.Env = append(os.Environ(), "BALANCER_NAME="+p.name, "BALANCER_LISTEN="+p.listen, "BALANCER_STATE="+p.stateDir(),
 		"BALANCER_DISCOVERY="+p.agent.addr(), "BALANCER_CONFIG="+p.configPath(), "BALANCER_LOG=debug", "BALANCER_OPERATOR=")
 	out, err := cmd.StderrPipe()
 	if err != nil {
-		return err
+		return nil, err
 	}
 	life, ready, done := &Life{Started: time.Now()}, make(chan struct{}), make(chan struct{})
 	if err := cmd.Start(); err != nil {
-		return err
+		return nil, err
 	}
 	p.mu.Lock()
 	p.cmd, p.done = cmd, done
@@ -98,14 +122,7 @@
 		p.mu.Unlock()
 		close(done)
 	}()
-	select {
-	case <-ready:
-		return nil
-	case <-done:
-		return fmt.Errorf("%s ended before it was ready", p.name)
-	case <-time.After(readyLimit):
-		return fmt.Errorf("%s was not ready within %v", p.name, readyLimit)
-	}
+	return &running{ready: ready, ended: done}, nil
 }
 
 // signal sends a signal to the process of the moment and notes what ends it.
@@ -118,7 +135,7 @@
 	life := p.lives[len(p.lives)-1]
 	switch sig {
 	case syscall.SIGTERM:
-		life.Term = time.Now()
+		life.Term = earliest(life.Term, time.Now())
 	case syscall.SIGKILL:
 		life.Killed = time.Now()
 	}
@@ -165,11 +182,17 @@
 	return nil
 }
 
-// freeze holds the process up for a while.
+// freeze holds the process of the moment up for a while.
 func (p *process) freeze(span time.Duration) {
-	p.signal(syscall.SIGSTOP)
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	cmd.Process.Signal(syscall.SIGSTOP) // an error says that it has ended
 	time.Sleep(span)
-	p.signal(syscall.SIGCONT)
+	cmd.Process.Signal(syscall.SIGCONT)
 }
 
 // reload writes the configuration anew and sends SIGHUP.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -55,6 +55,11 @@
 	request := func(class, answer string) *Request {
 		return &Request{ID: "m0.0-1", Class: class, Sent: at(0), Time: 2 * time.Second, Answer: answer, Answered: at(0.01)}
 	}
+	closed := func(wasRead bool) *Request {
+		q := request(classSafe, "")
+		q.Answered, q.Closed, q.WasRead = time.Time{}, at(0.3), wasRead
+		return q
+	}
 	call := func(from, to float64, mayRun, done bool) Call {
 		c := Call{ID: "m0.0-1", Endpoint: "s-1", First: at(from), Whole: at(from), MayRun: mayRun, Done: done}
 		if to > 0 {
@@ -66,16 +71,23 @@
 		m    *message
 		want string
 	}{
-		"fine":             {&message{request(classSafe, "+OK"), []Call{call(0.1, 0.2, true, true)}, nil}, ""},
-		"no end":           {&message{request(classSafe, "+OK"), nil, nil}, "lost"},
-		"late end":         {&message{request(classSafe, "+OK"), []Call{call(0.1, 0.2, true, false)}, []Notice{{"m0.0-1", "failed", at(3.2)}}}, "lost"},
-		"unsafe again":     {&message{request(classUnsafe, "+OK"), []Call{call(0.1, 0.2, true, false), call(0.5, 0.6, true, true)}, nil}, "repeat"},
-		"after its window": {&message{request(classKeyed, "+OK"), []Call{call(0.1, 0.2, true, false), call(3.5, 3.6, true, true)}, []Notice{{"m0.0-1", "failed", at(2)}}}, "repeat"},
-		"two at a time":    {&message{request(classSafe, "+OK"), []Call{call(0.1, 1, true, false), call(0.5, 0.6, true, true)}, nil}, "overlap"},
-		"after its time":   {&message{request(classSafe, "+OK"), []Call{call(2.3, 2.35, true, true)}, nil}, "deadline"},
-		"refused and sent": {&message{request(classSafe, "-BUSY"), []Call{call(0.1, 0.2, true, true)}, nil}, "refused"},
-		"ran and returned": {&message{request(classUnsafe, "+OK"), []Call{call(0.1, 0.2, true, false)}, []Notice{{"m0.0-1", "returned", at(1)}}}, "returned"},
-		"drains":           {&message{request(classSafe, "+OK"), []Call{{ID: "m0.0-1", Endpoint: "s-2", First: at(1.9), Whole: at(1.9), End: at(1.95), MayRun: true, Done: true}}, nil}, "drain"},
+		"fine":             {&message{request(classSafe, "+OK\r\n"), []Call{call(0.1, 0.2, true, true)}, nil}, ""},
+		"no end":           {&message{request(classSafe, "+OK\r\n"), nil, nil}, "lost"},
+		"late end":         {&message{request(classSafe, "+OK\r\n"), []Call{call(0.1, 0.2, true, false)}, []Notice{{"m0.0-1", "failed", at(3.2)}}}, "lost"},
+		"unsafe again":     {&message{request(classUnsafe, "+OK\r\n"), []Call{call(0.1, 0.2, true, false), call(0.5, 0.6, true, true)}, nil}, "repeat"},
+		"after its window": {&message{request(classKeyed, "+OK\r\n"), []Call{call(0.1, 0.2, true, false), call(3.5, 3.6, true, true)}, []Notice{{"m0.0-1", "failed", at(3.7)}}}, "repeat"},
+		"two at a time":    {&message{request(classSafe, "+OK\r\n"), []Call{call(0.1, 1, true, false), call(0.5, 0.6, true, true)}, nil}, "overlap"},
+		"after its time":   {&message{request(classSafe, "+OK\r\n"), []Call{call(2.3, 2.35, true, true)}, nil}, "deadline"},
+		"refused and sent": {&message{request(classSafe, "-BUSY\r\n"), []Call{call(0.1, 0.2, true, true)}, nil}, "refused"},
+		"ran and returned": {&message{request(classUnsafe, "+OK\r\n"), []Call{call(0.1, 0.2, true, false)}, []Notice{{"m0.0-1", "returned", at(1)}}}, "returned"},
+		"failed and sent":  {&message{request(classSafe, "-ERR failed\r\n"), []Call{call(0.1, 0.2, true, true)}, nil}, "refused"},
+		"no such answer":   {&message{request(classSafe, "-OK\r\n"), nil, nil}, "answer"},
+		"half an answer":   {&message{request(classSafe, "+O"), []Call{call(0.1, 0.2, true, true)}, nil}, "answer"},
+		"read, no answer":  {&message{closed(true), nil, nil}, "answer"},
+		"taken, no answer": {&message{closed(false), []Call{call(0.1, 0.2, true, true)}, nil}, "answer"},
+		"crossed":          {&message{closed(false), nil, nil}, ""},
+		"sent after end":   {&message{request(classSafe, "+OK\r\n"), []Call{call(1, 1.1, true, true)}, []Notice{{"m0.0-1", "returned", at(0.5)}}}, "ended"},
+		"drains":           {&message{request(classSafe, "+OK\r\n"), []Call{{ID: "m0.0-1", Endpoint: "s-2", First: at(1.9), Whole: at(1.9), End: at(1.95), MayRun: true, Done: true}}, nil}, "drain"},
 	} {
 		w := &World{cfg: Config{Pushed: true}, grace: time.Second, senders: []*process{{name: "n0", lives: []*Life{{Started: at(-1), Ready: at(-0.5)}},
 			agent: &agent{changes: []Change{{"s-2", "draining", at(0.5)}}}}}}
@@ -85,6 +97,7 @@
 		r := &Report{}
 		w.judgeDrain(r, x.m)
 		judgeRepeats(r, x.m)
+		w.judgeAnswer(r, x.m)
 		w.judgeEnd(r, x.m)
 		found := ""
 		if len(r.Violations) > 0 {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -32,7 +32,7 @@
 
 	dests          = 3
 	endpointsEach  = 3
-	clientsEach    = 4
+	clientsEach    = 8
 	maxAttempts    = 6
 	keyedWindow    = 3 * time.Second
 	messageLeast   = 1500 * time.Millisecond
@@ -43,8 +43,21 @@
 	rejectWait     = 700 * time.Millisecond
 )
 
-// clientPauses are the mean times between two messages of a sender's clients: some rest for long on their connections.
-var clientPauses = []time.Duration{60 * time.Millisecond, 60 * time.Millisecond, 40 * time.Millisecond, time.Second}
+// clientKind is how one client of each sender behaves.
+type clientKind struct {
+	habit habit
+	pause time.Duration // mean, between two messages
+}
+
+// clientKinds are the clients of a sender: some rest for long on their connections.
+var clientKinds = [clientsEach]clientKind{{habitPlain, 60 * time.Millisecond}, {habitPlain, 40 * time.Millisecond},
+	{habitPlain, time.Second}, {habitBusy, 8 * time.Millisecond}, {habitRest, 100 * time.Millisecond}, {habitRest, 10 * time.Millisecond},
+	{habitSplit, 50 * time.Millisecond}, {habitHalfEnd, 80 * time.Millisecond}}
+
+// load is what a client with a pause hands in.
+func (w *World) load(pause time.Duration) load {
+	return load{[]string{classSafe, classKeyed, classUnsafe}, dests, pause, messageLeast, messageMost}
+}
 
 // World is one run: senders, their agents, endpoints and clients.
 type World struct {
@@ -71,9 +84,9 @@
 	var clients sync.WaitGroup
 	for i, s := range w.senders {
 		for k := range clientsEach {
-			c := &client{name: fmt.Sprintf("m%d.%d", i, k), sender: i, addr: s.listen, out: &w.requests, stop: stop,
-				rng:  rand.New(rand.NewPCG(cfg.Seed, uint64(1000+i*clientsEach+k))),
-				load: load{[]string{classSafe, classKeyed, classUnsafe}, dests, clientPauses[k%len(clientPauses)], messageLeast, messageMost}}
+			kind := clientKinds[k]
+			c := &client{name: fmt.Sprintf("m%d.%d", i, k), sender: i, addr: s.listen, habit: kind.habit, load: w.load(kind.pause),
+				out: &w.requests, stop: stop, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(1000+i*clientsEach+k)))}
 			clients.Go(c.run)
 		}
 	}
