Answer an operator whose call was read while it made room, and let answers arrive before the close

The same class at the operators' address: a caller whose line had been read in the moment in which it made room for another had its connection closed with no answer. The one that makes room is now woken instead of closed; if its line is whole it gets "fail the sender is too busy", and nothing is carried out. The close waits until the answer is acknowledged, as for clients.

--- a/internal/node/client_close.go
+++ b/internal/node/client_close.go
@@ -5,22 +5,12 @@
 import (
 	"bufio"
 	"bytes"
-	"cmp"
-	"errors"
-	"net"
 	"strings"
-	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
-const (
-	closeWait = 50 * time.Millisecond // for a client to acknowledge its last answers, before the close
-	closeLook = time.Millisecond
-	// refuseTime is for requests that have come when a connection is about to be closed.
-	refuseTime = 100 * time.Millisecond
-)
+// refuseTime is for requests that have come when a connection is about to be closed.
+const refuseTime = 100 * time.Millisecond
 
 // closeReason says why a connection of a client is closed.
 type closeReason string
@@ -57,7 +47,7 @@
 	}
 	x.drained(reason)
 	if reason != closedByPeer && reason != closedUnwritten {
-		x.awaitDelivery()
+		awaitDelivery(x.Conn)
 	}
 	_, unread := peek(x.Conn)
 	x.Conn.Close()
@@ -107,52 +97,6 @@
 	return true
 }
 
-// available is the number of bytes that can be read without waiting.
-func available(conn net.Conn) int {
-	_, data := peek(conn)
-	if !data {
-		return 0
-	}
-	count, err := socketCount(conn, unix.SIOCINQ)
-	if err != nil {
-		return maxBulk + maxRest // the system does not tell
-	}
-	return count
-}
-
-// socketCount asks the system for a count of bytes that it holds for a connection.
-func socketCount(conn net.Conn, request uint) (count int, err error) {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return 0, errors.ErrUnsupported
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	controlErr := raw.Control(func(fd uintptr) { count, err = unix.IoctlGetInt(int(fd), request) })
-	return count, cmp.Or(controlErr, err)
-}
-
-// awaitDelivery ends the sending and waits, for a moment at most, until the client has acknowledged all answers: the
-// reset that a close over unread bytes sends would overtake those that are still under way. It reads nothing. The end of
-// the sending counts as one byte and is acknowledged without delay.
-func (x *clientConn) awaitDelivery() {
-	half, ok := x.Conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
-	for by := time.Now().Add(closeWait); time.Now().Before(by); time.Sleep(closeLook) {
-		left, err := socketCount(x.Conn, unix.SIOCOUTQ)
-		if err == nil && left == 0 {
-			return
-		}
-		if _, unread := peek(x.Conn); err != nil && !unread {
-			return // the system does not tell; without unread bytes there is no reset
-		}
-	}
-}
-
 // turnAway is the answer to a request that came too late to be carried out.
 func (c *clients) turnAway(args [][]byte) string {
 	if strings.EqualFold(string(args[0]), "MSG.PUT") {
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -11,7 +11,6 @@
 	"slices"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"crossdeal/internal/clock"
@@ -233,23 +232,3 @@
 		return "-ERR unknown command\r\n"
 	}
 }
-
-// peek looks at a connection without reading or waiting: whether the peer has it
-// open still, and whether something has come.
-func peek(conn net.Conn) (alive, data bool) {
-	sc, ok := conn.(syscall.Conn)
-	if !ok {
-		return false, false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false, false
-	}
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		data = n > 0
-		alive = data || errors.Is(err, syscall.EAGAIN)
-	})
-	return alive && err == nil, data
-}
--- a/internal/node/operators.go
+++ b/internal/node/operators.go
@@ -27,6 +27,7 @@
 var (
 	errStarting = errors.New("starting")
 	errStopping = errors.New("stopping")
+	errTooBusy  = errors.New("the sender is too busy")
 )
 
 // order is an operator's word on an endpoint. The loop carries it out and says why not, if it cannot.
@@ -154,23 +155,30 @@
 func (d *door) enter(conn net.Conn) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.callers) >= d.most {
-		var oldest net.Conn
-		for c, x := range d.callers {
-			if !x.heard && (oldest == nil || x.since.Before(d.callers[oldest].since)) {
-				oldest = c
-			}
-		}
-		if oldest == nil {
-			return false // all wait for their answers, which come soon
-		}
-		delete(d.callers, oldest)
-		oldest.Close() // its handler wakes and ends
+	if len(d.callers) >= d.most && !d.makeRoom() {
+		return false // all wait for their answers, which come soon
 	}
 	d.callers[conn] = &operator{since: time.Now()}
 	return true
 }
 
+// makeRoom drops the caller that has been silent longest, false if none is silent. Its handler wakes and closes the
+// connection. The caller of makeRoom holds d.mu.
+func (d *door) makeRoom() bool {
+	var oldest net.Conn
+	for c, x := range d.callers {
+		if !x.heard && (oldest == nil || x.since.Before(d.callers[oldest].since)) {
+			oldest = c
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(d.callers, oldest)
+	oldest.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
 // heard notes that a caller's line has come; false if the caller had to make room.
 func (d *door) heard(conn net.Conn) bool {
 	d.mu.Lock()
@@ -182,11 +190,13 @@
 	return x != nil
 }
 
+// leave closes a caller's connection once its answer has arrived.
 func (d *door) leave(conn net.Conn) {
+	awaitDelivery(conn)
+	conn.Close()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delete(d.callers, conn)
-	conn.Close()
 }
 
 // dismiss wakes those that have not sent their line.
@@ -203,10 +213,11 @@
 func (d *door) handle(ctx context.Context, conn net.Conn) {
 	conn.SetDeadline(time.Now().Add(orderTime))
 	line, err := bufio.NewReaderSize(io.LimitReader(conn, orderLine), orderLine).ReadString('\n')
-	if !d.heard(conn) {
-		return
-	}
-	switch {
+	switch admitted := d.heard(conn); {
+	case !admitted && err != nil:
+		return // it made room, and nothing whole has come
+	case !admitted:
+		err = errTooBusy
 	case err == nil:
 		err = d.answer(ctx, strings.Fields(line))
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -254,7 +265,7 @@
 	case <-d.gone:
 		return d.passOn(strings.Join(words, " "))
 	case <-ctx.Done():
-		return cmp.Or(d.whyNot(), errors.New("the sender is too busy"))
+		return cmp.Or(d.whyNot(), errTooBusy)
 	}
 	select {
 	case err := <-answer:
--- a/internal/node/operators_test.go
+++ b/internal/node/operators_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -131,6 +132,27 @@
 	await(t, e.calls, "call: nothing was taken out").reply(200)
 }
 
+// An operator whose call was read in the moment in which it made room for another had no answer.
+func TestOperatorCallReadAtAnEvictionIsAnswered(t *testing.T) {
+	d, side := newDoor(slog.New(slog.DiscardHandler), 64, nil), connect(t)
+	if !d.enter(side.served) {
+		t.Fatal("not let in")
+	}
+	d.mu.Lock()
+	d.wg.Go(func() {
+		d.handle(t.Context(), side.served)
+		d.leave(side.served)
+	})
+	io.WriteString(side.conn, "ready\n")
+	time.Sleep(50 * time.Millisecond) // its handler has the line, and has not said so
+	evicted := d.makeRoom()
+	d.mu.Unlock()
+	if got := side.line(); !evicted || !strings.HasPrefix(got, "fail ") {
+		t.Errorf("evicted %v, answered %q", evicted, got)
+	}
+	d.wg.Wait()
+}
+
 // A call that still connects when its endpoint is taken out is not written.
 func TestOperatorTakesOutHoldsCalls(t *testing.T) {
 	n, _, _, _ := world(t, 1)
