--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -195,9 +195,11 @@
 // text is the request as it is written.
 func (r *Request) text() string {
 	opts := fmt.Sprintf("c=%s,d=%d,dest=%d", r.Class, r.Time.Milliseconds(), r.Dest)
-	return command("MSG.PUT", "0000", r.ID, opts, "body of "+r.ID)
+	return command("MSG.PUT", "0000", r.ID, opts, r.body())
 }
 
+func (r *Request) body() string { return "body of " + r.ID }
+
 // write sends a text as the client's habit has it.
 func (c *client) write(text string) error {
 	if c.habit == habitSplit {
--- a/internal/soak/endpoint.go
+++ b/internal/soak/endpoint.go
@@ -39,11 +39,12 @@
 	ID       string
 	Endpoint string
 	Dest     int64
-	First    time.Time     // its first byte came
-	Whole    time.Time     // its last byte came
-	End      time.Time     // its answer was written or its connection ended; zero while it is open
-	MayRun   bool          // false: it was turned away unseen
-	Done     bool          // 200 was written
+	First    time.Time // its first byte came
+	Whole    time.Time // its last byte came
+	End      time.Time // its answer was written or its connection ended; zero while it is open
+	MayRun   bool      // false: it was turned away unseen
+	Done     bool      // 200 was written
+	Body     string
 	Wait     time.Duration // told by its answer, from End on
 }
 
@@ -149,11 +150,12 @@
 		if err != nil {
 			return
 		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
 			return
 		}
 		e.mu.Lock()
-		call := &Call{ID: req.Header.Get("X-Trace-Id"), Endpoint: e.id, Dest: e.dest, First: first, Whole: time.Now()}
+		call := &Call{ID: req.Header.Get("X-Trace-Id"), Endpoint: e.id, Dest: e.dest, First: first, Whole: time.Now(), Body: string(body)}
 		b := e.behaviour
 		e.calls = append(e.calls, call)
 		e.mu.Unlock()
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -72,6 +72,7 @@
 	}
 	for _, m := range messages {
 		w.judgeDrain(r, m)
+		judgeCalls(r, m)
 		judgeRepeats(r, m)
 		w.judgeAnswer(r, m)
 		w.judgeEnd(r, m)
@@ -210,6 +211,18 @@
 	}
 }
 
+// judgeCalls looks for calls to another destination than the message's, or with another body.
+func judgeCalls(r *Report, m *message) {
+	for _, c := range m.calls {
+		if c.Dest != m.Dest {
+			r.violate("destination", "%s for destination %d was sent to %s of %d", m.ID, m.Dest, c.Endpoint, c.Dest)
+		}
+		if c.Body != m.body() {
+			r.violate("body", "%s was sent to %s with %q", m.ID, c.Endpoint, c.Body)
+		}
+	}
+}
+
 // couldNotKnow says whether a change came while no process of a sender lived, and its agent was silent from before the next
 // start until after a call. The rule counts the change as told all the same: such calls are reported on their own.
 func (w *World) couldNotKnow(sender int, c Change, call time.Time) bool {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -61,7 +61,7 @@
 		return q
 	}
 	call := func(from, to float64, mayRun, done bool) Call {
-		c := Call{ID: "m0.0-1", Endpoint: "s-1", First: at(from), Whole: at(from), MayRun: mayRun, Done: done}
+		c := Call{ID: "m0.0-1", Endpoint: "s-1", Body: "body of m0.0-1", First: at(from), Whole: at(from), MayRun: mayRun, Done: done}
 		if to > 0 {
 			c.End = at(to)
 		}
@@ -87,7 +87,9 @@
 		"taken, no answer": {&message{closed(false), []Call{call(0.1, 0.2, true, true)}, nil}, "answer"},
 		"crossed":          {&message{closed(false), nil, nil}, ""},
 		"sent after end":   {&message{request(classSafe, "+OK\r\n"), []Call{call(1, 1.1, true, true)}, []Notice{{"m0.0-1", "returned", at(0.5)}}}, "ended"},
-		"drains":           {&message{request(classSafe, "+OK\r\n"), []Call{{ID: "m0.0-1", Endpoint: "s-2", First: at(1.9), Whole: at(1.9), End: at(1.95), MayRun: true, Done: true}}, nil}, "drain"},
+		"elsewhere":        {&message{request(classSafe, "+OK\r\n"), []Call{{Dest: 1, Body: "body of m0.0-1", First: at(0.1), Whole: at(0.1), End: at(0.2), MayRun: true, Done: true}}, nil}, "destination"},
+		"another body":     {&message{request(classSafe, "+OK\r\n"), []Call{{First: at(0.1), Whole: at(0.1), End: at(0.2), MayRun: true, Done: true}}, nil}, "body"},
+		"drains":           {&message{request(classSafe, "+OK\r\n"), []Call{{ID: "m0.0-1", Endpoint: "s-2", Body: "body of m0.0-1", First: at(1.9), Whole: at(1.9), End: at(1.95), MayRun: true, Done: true}}, nil}, "drain"},
 	} {
 		w := &World{cfg: Config{Pushed: true}, grace: time.Second, senders: []*process{{name: "n0", lives: []*Life{{Started: at(-1), Ready: at(-0.5)}},
 			agent: &agent{changes: []Change{{"s-2", "draining", at(0.5)}}}}}}
@@ -96,6 +98,7 @@
 		}
 		r := &Report{}
 		w.judgeDrain(r, x.m)
+		judgeCalls(r, x.m)
 		judgeRepeats(r, x.m)
 		w.judgeAnswer(r, x.m)
 		w.judgeEnd(r, x.m)
