--- a/internal/node/operators.go
+++ b/internal/node/admin.go
@@ -37,9 +37,9 @@
 	answer chan<- error
 }
 
-// door answers operators: one line in and one line out for each connection. It opens before the sender can serve, so
+// adminServer answers operators: one line in and one line out for each connection. It opens before the sender can serve, so
 // that ready can say no.
-type door struct {
+type adminServer struct {
 	log     *slog.Logger
 	orders  chan<- order
 	most    int
@@ -52,34 +52,34 @@
 	wg      sync.WaitGroup
 }
 
-// operator is a caller at the door.
+// operator is a caller of the admin server.
 type operator struct {
 	since time.Time
 	heard bool // its line has come
 }
 
-func newDoor(log *slog.Logger, sockets int, orders chan<- order) *door {
-	return &door{log: log, orders: orders, most: min(orderConns, max(sockets/16, 4)), ready: errStarting,
+func newAdminServer(log *slog.Logger, sockets int, orders chan<- order) *adminServer {
+	return &adminServer{log: log, orders: orders, most: min(orderConns, max(sockets/16, 4)), ready: errStarting,
 		callers: map[net.Conn]*operator{}, gone: make(chan struct{})}
 }
 
 // setReady says from now on that this process can serve, or why it cannot.
-func (d *door) setReady(err error) {
+func (d *adminServer) setReady(err error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.ready = err
 }
 
-// handed passes calls on to the door of the process that has taken over; "-" if it has none.
-func (d *door) handed(next string) {
+// handed passes calls on to the admin server of the process that has taken over; "-" if it has none.
+func (d *adminServer) handed(next string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.next = next
 	close(d.gone)
 }
 
-// passOn asks the door of the process that has taken over.
-func (d *door) passOn(call string) error {
+// passOn asks the admin server of the process that has taken over.
+func (d *adminServer) passOn(call string) error {
 	conn, err := net.DialTimeout("tcp", d.next, orderWait)
 	if err != nil {
 		return errHanded
@@ -99,11 +99,11 @@
 	return nil
 }
 
-// listen opens the door; serve must follow.
-func (d *door) listen(addr string) (net.Listener, error) {
+// listen opens the address; serve must follow.
+func (d *adminServer) listen(addr string) (net.Listener, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
-		return nil, fmt.Errorf("operators' door: %w", err)
+		return nil, fmt.Errorf("admin server: %w", err)
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -111,22 +111,22 @@
 	return ln, nil
 }
 
-// address is where operators call; nil before the door is open.
-func (d *door) address() net.Addr {
+// address is where operators call; nil before it is open.
+func (d *adminServer) address() net.Addr {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.addr
 }
 
 // whyNot is why this process cannot serve; nil if it can.
-func (d *door) whyNot() error {
+func (d *adminServer) whyNot() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.ready
 }
 
 // serve answers callers until ctx is over and all have left.
-func (d *door) serve(ctx context.Context, ln net.Listener) {
+func (d *adminServer) serve(ctx context.Context, ln net.Listener) {
 	defer d.wg.Wait()
 	defer context.AfterFunc(ctx, func() { ln.Close(); d.dismiss() })()
 	for {
@@ -135,7 +135,7 @@
 			if errors.Is(err, net.ErrClosed) {
 				return
 			}
-			d.log.Warn("operators' door", "err", err)
+			d.log.Warn("admin server", "err", err)
 			time.Sleep(acceptPause) // out of descriptors, say: one that closes makes room
 			continue
 		}
@@ -152,7 +152,7 @@
 
 // enter counts a caller in. With the table full, the one that has been silent longest makes room: silent callers
 // must not keep others out.
-func (d *door) enter(conn net.Conn) bool {
+func (d *adminServer) enter(conn net.Conn) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if len(d.callers) >= d.most && !d.makeRoom() {
@@ -164,7 +164,7 @@
 
 // makeRoom drops the caller that has been silent longest, false if none is silent. Its handler wakes and closes the
 // connection. The caller of makeRoom holds d.mu.
-func (d *door) makeRoom() bool {
+func (d *adminServer) makeRoom() bool {
 	var oldest net.Conn
 	for c, x := range d.callers {
 		if !x.heard && (oldest == nil || x.since.Before(d.callers[oldest].since)) {
@@ -180,7 +180,7 @@
 }
 
 // heard notes that a caller's line has come; false if the caller had to make room.
-func (d *door) heard(conn net.Conn) bool {
+func (d *adminServer) heard(conn net.Conn) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	x := d.callers[conn]
@@ -191,7 +191,7 @@
 }
 
 // leave closes a caller's connection once its answer has arrived.
-func (d *door) leave(conn net.Conn) {
+func (d *adminServer) leave(conn net.Conn) {
 	awaitDelivery(conn)
 	conn.Close()
 	d.mu.Lock()
@@ -200,7 +200,7 @@
 }
 
 // dismiss wakes those that have not sent their line.
-func (d *door) dismiss() {
+func (d *adminServer) dismiss() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	for conn, x := range d.callers {
@@ -210,7 +210,7 @@
 	}
 }
 
-func (d *door) handle(ctx context.Context, conn net.Conn) {
+func (d *adminServer) handle(ctx context.Context, conn net.Conn) {
 	conn.SetDeadline(time.Now().Add(orderTime))
 	line, err := bufio.NewReaderSize(io.LimitReader(conn, orderLine), orderLine).ReadString('\n')
 	switch admitted := d.heard(conn); {
@@ -233,12 +233,12 @@
 	}
 	conn.SetWriteDeadline(time.Now().Add(orderTime))
 	if _, err := io.WriteString(conn, said); err != nil {
-		d.log.Warn("operators' door", "err", err)
+		d.log.Warn("admin server", "err", err)
 	}
 }
 
 // answer carries out a call and says why not, if it cannot.
-func (d *door) answer(ctx context.Context, words []string) error {
+func (d *adminServer) answer(ctx context.Context, words []string) error {
 	if len(words) == 0 {
 		return errors.New("the call is empty")
 	}
--- a/internal/node/operators_test.go
+++ b/internal/node/admin_test.go
@@ -40,8 +40,8 @@
 	}
 }
 
-// doorNode is a sender with an operators' door.
-func doorNode(t *testing.T, p *platform, dir string, known discovery.List) *testNode {
+// adminNode is a sender with an admin server.
+func adminNode(t *testing.T, p *platform, dir string, known discovery.List) *testNode {
 	t.Helper()
 	cfg, err := ParseConfig(configText(p, known))
 	if err != nil {
@@ -58,9 +58,9 @@
 	a, b := newEndpoint(t), newEndpoint(t)
 	known := discovery.List{Generation: 1, Reset: true, Instances: instances(a, b)}
 	p.list = known
-	n := doorNode(t, p, dir, known)
+	n := adminNode(t, p, dir, known)
 	c := dial(t, n.addr)
-	door := n.door.address().String()
+	admin := n.admin.address().String()
 	round := func(c *client, how string) { // rotation would come to each of the two
 		t.Helper()
 		for i := range 4 {
@@ -69,10 +69,10 @@
 		}
 		a.none(t)
 	}
-	wantAnswer(t, door, "ready", "ok")
-	wantAnswer(t, door, "disable-server s-0", "ok")
+	wantAnswer(t, admin, "ready", "ok")
+	wantAnswer(t, admin, "disable-server s-0", "ok")
 	round(c, "out")
-	wantAnswer(t, door, "disable-server s-0", "ok") // no second call back will be needed
+	wantAnswer(t, admin, "disable-server s-0", "ok") // no second call back will be needed
 	for i, list := range []discovery.List{{Reset: true, Instances: instances(a, b)}, {Instances: []discovery.Instance{{ID: "s-0", Dest: 1, Lifecycle: "removed"}}},
 		{Instances: instances(a)}} {
 		list.Generation = int64(2 + i)
@@ -84,11 +84,11 @@
 	if err := await(t, n.done, "end"); err != nil {
 		t.Fatal(err)
 	}
-	n = doorNode(t, p, dir, known)
-	door, c = n.door.address().String(), dial(t, n.addr)
+	n = adminNode(t, p, dir, known)
+	admin, c = n.admin.address().String(), dial(t, n.addr)
 	round(c, "again")
-	wantAnswer(t, door, "enable-server s-0", "ok")
-	wantAnswer(t, door, "enable-server s-0", "ok")
+	wantAnswer(t, admin, "enable-server s-0", "ok")
+	wantAnswer(t, admin, "enable-server s-0", "ok")
 	for i := range 2 {
 		c.put(fmt.Sprintf("back-%d", i), "unsafe", "+OK")
 	}
@@ -101,10 +101,10 @@
 	p, e := newPlatform(t), newEndpoint(t)
 	known := discovery.List{Generation: 1, Reset: true, Instances: instances(e)}
 	p.list = known
-	n := doorNode(t, p, t.TempDir(), known)
-	door := n.door.address().String()
+	n := adminNode(t, p, t.TempDir(), known)
+	admin := n.admin.address().String()
 	for i := range 2 * orderConns {
-		conn, err := net.Dial("tcp", door)
+		conn, err := net.Dial("tcp", admin)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -112,13 +112,13 @@
 		if i%2 == 0 {
 			io.WriteString(conn, "disable-server s-")
 		}
-		wantAnswer(t, door, "ready", "ok")
+		wantAnswer(t, admin, "ready", "ok")
 	}
 	for _, call := range []string{"disable-server", "disable-server s-9", "enable-server s-9", "enable-server s-0 s-0", "ready now",
 		"reboot", "", "disable-server " + strings.Repeat("x", 2*orderLine)} {
-		wantAnswer(t, door, call, "fail ")
+		wantAnswer(t, admin, call, "fail ")
 	}
-	conn, err := net.Dial("tcp", door)
+	conn, err := net.Dial("tcp", admin)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -134,7 +134,7 @@
 
 // An operator whose call was read in the moment in which it made room for another had no answer.
 func TestOperatorCallReadAtAnEvictionIsAnswered(t *testing.T) {
-	d, side := newDoor(slog.New(slog.DiscardHandler), 64, nil), connect(t)
+	d, side := newAdminServer(slog.New(slog.DiscardHandler), 64, nil), connect(t)
 	if !d.enter(side.served) {
 		t.Fatal("not let in")
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -51,7 +51,7 @@
 	Name      string
 	Listen    string
 	Discovery string
-	Operator  string // where operators call; empty for no such door
+	Operator  string // where operators call; empty for no such address
 	StateDir  string
 	Seed      uint64
 	Limits    Limits
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -29,7 +29,7 @@
 	handPause    = 50 * time.Millisecond  // before the owner is asked again
 	freezeTime   = 100 * time.Millisecond // for half-read requests to come to their end before the state is packed
 	freezeLook   = time.Millisecond
-	lingerDoor   = 2 * time.Second // after a handover, for operators that still call the old address
+	lingerAdmin  = 2 * time.Second // after a handover, for operators that still call the old address
 	spareSockets = 16              // of each process: lock, journal, discovery, notices and the like
 	handBatch    = 200             // descriptors in one message; the kernel takes 253
 	mostText     = 64 << 20
@@ -111,10 +111,10 @@
 		conn.SetDeadline(time.Now().Add(handTime))
 		line, err := bufio.NewReader(io.LimitReader(conn, orderLine)).ReadString('\n')
 		line = strings.TrimSuffix(line, "\n")
-		door, ok := strings.CutPrefix(line, handWord+" ")
+		admin, ok := strings.CutPrefix(line, handWord+" ")
 		inRows := false
 		if !ok {
-			door, inRows = strings.CutPrefix(line, handRows+" ")
+			admin, inRows = strings.CutPrefix(line, handRows+" ")
 		}
 		if err != nil || !ok && !inRows {
 			n.log.Warn("handover to a process that does not ask for it in this form", "err", err)
@@ -123,7 +123,7 @@
 		}
 		conn.SetDeadline(time.Time{})
 		select {
-		case n.successors <- successor{conn, door, inRows}:
+		case n.successors <- successor{conn, admin, inRows}:
 		case <-work.Done():
 			conn.Close()
 		}
@@ -133,7 +133,7 @@
 // successor is a process that asks to take over.
 type successor struct {
 	conn   *net.UnixConn
-	door   string // where operators call it; "-" if nowhere
+	admin  string // where operators call it; "-" if nowhere
 	inRows bool   // it takes the tables row by row
 }
 
@@ -176,8 +176,8 @@
 		x.Close()
 	}
 	n.ln.Close()
-	if n.door != nil {
-		n.door.handed(to.door)
+	if n.admin != nil {
+		n.admin.handed(to.admin)
 	}
 	n.log.Info("handed over", "calls", len(p.Calls), "clients", len(p.Clients), "kept", len(left), "idle", len(p.Idle),
 		"held", len(p.Held), "bytes", p.size, "took", time.Since(start).String())
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -30,7 +30,7 @@
 		Lifecycle: "up", Weight: 100})
 	p.set(func() { p.list = discovery.List{Generation: 2, Reset: true, Instances: list} })
 	taken(t, p, 2)
-	wantAnswer(t, old.door, "disable-server s-1", "ok")
+	wantAnswer(t, old.admin, "disable-server s-1", "ok")
 	c := dial(t, old.addr)
 	if got := c.do("MSG.PUT", "0", "w", "c=unsafe,d=10000,dest=2", "x"); got != "+OK" {
 		t.Fatalf("got %q", got)
@@ -46,11 +46,11 @@
 	if x.addr != old.addr {
 		t.Errorf("the new process listens at %s, the old one at %s", x.addr, old.addr)
 	}
-	wantAnswer(t, x.door, "ready", "ok")
-	if got := ask(t, old.door, "ready\n"); got == "ok\n" {
+	wantAnswer(t, x.admin, "ready", "ok")
+	if got := ask(t, old.admin, "ready\n"); got == "ok\n" {
 		t.Error("the old process is ready still")
 	}
-	wantAnswer(t, old.door, "disable-server s-9", "fail no such endpoint")
+	wantAnswer(t, old.admin, "disable-server s-9", "fail no such endpoint")
 	c.put("a", "unsafe", "+OK") // known, so not taken on again
 	in.reply(200)
 	c.put("b", "unsafe", "+OK") // on the connection that the old process had accepted
@@ -77,7 +77,7 @@
 		t.Errorf("notice %+v", n)
 	}
 	other.none(t)
-	wantAnswer(t, x.door, "enable-server s-1", "ok")
+	wantAnswer(t, x.admin, "enable-server s-1", "ok")
 	x.term()
 	x.end()
 	e.none(t)
@@ -98,9 +98,9 @@
 	}
 	cfg.Listen, cfg.Operator = old.addr, "127.0.0.1:0"
 	ready := make(chan *testNode)
-	doors := make(chan *door, 1)
-	go func() { ready <- startConfig(t, cfg, dir, func(n *Node) { doors <- n.door }) }()
-	d := await(t, doors, "door")
+	admins := make(chan *adminServer, 1)
+	go func() { ready <- startConfig(t, cfg, dir, func(n *Node) { admins <- n.admin }) }()
+	d := await(t, admins, "admin server")
 	for d.address() == nil {
 		time.Sleep(time.Millisecond)
 	}
@@ -112,7 +112,7 @@
 	}
 	old.kill()
 	n := await(t, ready, "sender after the owner's death")
-	wantAnswer(t, n.door.address().String(), "ready", "ok")
+	wantAnswer(t, n.admin.address().String(), "ready", "ok")
 	await(t, e.calls, "call again").reply(200)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,7 +47,7 @@
 	disc       watcher
 	notices    *notices
 	clients    *clients
-	door       *door // nil where no operator address is given
+	admin      *adminServer // nil where no operator address is given
 	events     chan any
 	orders     chan order
 	successors chan successor
@@ -126,7 +126,7 @@
 		cfg.Limits.Sockets = n.sockets
 	}
 	if cfg.Operator != "" {
-		n.door = newDoor(log, n.sockets, n.orders)
+		n.admin = newAdminServer(log, n.sockets, n.orders)
 	}
 	n.clients = newClients(cfg, log, n.events)
 	n.trace, n.guard, n.clock = newTracer(log, n.dir), n.clients.guard, n.clients.clock
@@ -136,8 +136,8 @@
 // shareDescriptors shares the descriptors out between clients, operators and calls, which may bound the slots.
 func (n *Node) shareDescriptors() {
 	operators := 0
-	if n.door != nil {
-		operators = n.door.most
+	if n.admin != nil {
+		operators = n.admin.most
 	}
 	set := &n.cfg.Deploy.Settings
 	calls := n.clients.shareDescriptors(n.sockets, operators)
@@ -208,11 +208,11 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer n.close()
-	endDoor, err := n.openDoor()
+	endAdmin, err := n.openAdmin()
 	if err != nil {
 		return err
 	}
-	defer endDoor()
+	defer endAdmin()
 	if err := n.begin(ctx, work); err != nil {
 		if ctx.Err() != nil {
 			return nil // stopped while it waited for its turn
@@ -325,7 +325,7 @@
 	n.clients.countUnanswered()
 	select {
 	case <-ctx.Done():
-	case <-time.After(lingerDoor):
+	case <-time.After(lingerAdmin):
 	}
 	n.log.Info("stopped after the handover")
 }
@@ -340,25 +340,25 @@
 	}
 }
 
-// openDoor lets operators call, where an address for them is given, until the returned function has been called.
-func (n *Node) openDoor() (end func(), err error) {
-	if n.door == nil {
+// openAdmin lets operators call, where an address for them is given, until the returned function has been called.
+func (n *Node) openAdmin() (end func(), err error) {
+	if n.admin == nil {
 		return func() {}, nil
 	}
-	ln, err := n.door.listen(n.cfg.Operator)
+	ln, err := n.admin.listen(n.cfg.Operator)
 	if err != nil {
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	closed := make(chan struct{})
-	go func() { defer close(closed); n.door.serve(ctx, ln) }()
-	n.log.Info("operators' door", "addr", ln.Addr().String())
+	go func() { defer close(closed); n.admin.serve(ctx, ln) }()
+	n.log.Info("admin server", "addr", ln.Addr().String())
 	return func() { cancel(); <-closed }, nil
 }
 
 // admit tells operators that this process can serve, or why it cannot.
 func (n *Node) admit(err error) {
-	if n.door != nil {
-		n.door.setReady(err)
+	if n.admin != nil {
+		n.admin.setReady(err)
 	}
 }
--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -40,7 +40,7 @@
 	t      *testing.T
 	cmd    *exec.Cmd
 	addr   string
-	door   string // operators' address
+	admin  string // operators' address
 	config string // path
 	done   chan error
 	mu     sync.Mutex
@@ -97,8 +97,8 @@
 		}
 		for s := bufio.NewScanner(logs); s.Scan(); {
 			switch line := s.Text(); {
-			case strings.Contains(line, `msg="operators' door" addr=`):
-				x.door = addrOf(line)
+			case strings.Contains(line, `msg="admin server" addr=`):
+				x.admin = addrOf(line)
 			case strings.Contains(line, "msg=ready "):
 				addr <- addrOf(line)
 			case strings.Contains(line, `msg="rule broken"`):
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// doorOf serves clients without a loop behind them: PING is enough to see who is answered.
-func doorOf(t *testing.T) (*clients, net.Listener) {
+// clientsOnly serves clients without a loop behind them: PING is enough to see who is answered.
+func clientsOnly(t *testing.T) (*clients, net.Listener) {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -35,7 +35,7 @@
 // A client that sends on an open connection for as long as it is open is answered, and does not outlast the shutdown:
 // at the process's end no request is left that was read and has no answer.
 func TestShutdownEndsWithAClientThatSendsOn(t *testing.T) {
-	served, ln := doorOf(t)
+	served, ln := clientsOnly(t)
 	conn, err := net.Dial("tcp", ln.Addr().String())
 	if err != nil {
 		t.Fatal(err)
@@ -73,7 +73,7 @@
 // A client that has only just connected when the sender stops is given a moment for its first request, which would
 // fail with the connection; one that sends nothing does not hold the shutdown up.
 func TestShutdownAnswersAFirstRequest(t *testing.T) {
-	served, ln := doorOf(t)
+	served, ln := clientsOnly(t)
 	c, silent := dial(t, ln.Addr().String()), dial(t, ln.Addr().String())
 	for stop := time.Now().Add(patience); ; {
 		served.mu.Lock()
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -81,9 +81,9 @@
 	if err != nil {
 		return nil, err
 	}
-	door := "-"
-	if n.door != nil {
-		door = n.door.address().String()
+	admin := "-"
+	if n.admin != nil {
+		admin = n.admin.address().String()
 	}
 	var files []*os.File
 	l, begun := &takeover{}, false
@@ -107,7 +107,7 @@
 			l.listener.Close()
 		}
 	}()
-	if _, err := fmt.Fprintf(conn, "%s %s\n", word, door); err != nil {
+	if _, err := fmt.Fprintf(conn, "%s %s\n", word, admin); err != nil {
 		return nil, err
 	}
 	var head [8]byte
--- a/internal/node/transfer_test.go
+++ b/internal/node/transfer_test.go
@@ -144,7 +144,7 @@
 		{ID: "s-1", HostPort: b.addr(), Zone: "b", Kind: "std", Dest: 1, Lifecycle: "up", Weight: 100},
 		{ID: "s-w", HostPort: w.addr(), Zone: "a", Kind: "std", Dest: 2, Lifecycle: "up", Weight: 100}}}
 	p.list = known
-	n := doorNode(t, p, dir, known)
+	n := adminNode(t, p, dir, known)
 	for _, want := range []string{handRows + " -", "take 1 -", "taken"} {
 		got := await(t, heard, "word")
 		if got, _, _ = strings.Cut(got, "127"); strings.TrimSpace(strings.TrimSuffix(got, "-")) != strings.TrimSuffix(want, " -") {
@@ -173,7 +173,7 @@
 	}
 	w.none(t)
 	b.none(t)
-	wantAnswer(t, n.door.address().String(), "enable-server s-1", "ok")
+	wantAnswer(t, n.admin.address().String(), "enable-server s-1", "ok")
 }
 
 // What this version says to a process of the version before is what that one would have said itself, field by field.
@@ -218,7 +218,7 @@
 	p, dir := newPlatform(t), recordedFolder(t)
 	known := discovery.List{Generation: 7, Reset: true, Instances: instances(newEndpoint(t))}
 	p.list = known
-	n := doorNode(t, p, dir, known)
+	n := adminNode(t, p, dir, known)
 	got := map[string]string{}
 	for range 2 {
 		x := await(t, p.notices, "notice")
@@ -227,7 +227,7 @@
 	if got["out"] != "failed" || got["w"] != "returned" { // their time was up long ago; out may have run
 		t.Errorf("notices %v", got)
 	}
-	wantAnswer(t, n.door.address().String(), "enable-server s-1", "ok")
+	wantAnswer(t, n.admin.address().String(), "enable-server s-1", "ok")
 }
 
 // Both forms carry the same, and a name with all of its fields.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -139,7 +139,7 @@
 // at rest, and moves its discovery.
 func (p *Plan) planProcess(w *World, s *process, rng *rand.Rand) {
 	kinds := []processFault{killed, terminated, terminated, terminatedTwice, terminatedAtStart, hangupAroundTerm, killedBehindAnswer,
-		killedTwice, heldUp, upgraded, upgraded, moved, moved}
+		killedTwice, heldUp, upgraded, upgraded, moved, movedTwice}
 	for at := 1500*time.Millisecond + time.Duration(rng.Int64N(int64(6*time.Second))); at < w.cfg.Span; {
 		fault := kinds[rng.IntN(len(kinds))]
 		seed := rng.Uint64()
--- a/internal/soak/process_faults.go
+++ b/internal/soak/process_faults.go
@@ -91,6 +91,13 @@
 	moved = processFault{"SIGHUP, discovery moves", 2 * time.Second, func(_ *World, s *process, rng *rand.Rand) error {
 		return s.move(rng)
 	}}
+	movedTwice = processFault{"SIGHUP twice within a second, discovery moves", 2 * time.Second, func(_ *World, s *process, rng *rand.Rand) error {
+		if err := s.move(rng); err != nil {
+			return err
+		}
+		time.Sleep(time.Duration(rng.Int64N(int64(time.Second))))
+		return s.move(rng)
+	}}
 )
 
 // holdUp stops the process of the moment in a series of short hold-ups after a while, for freezeMost in all.
