--- a/internal/node/client_close.go
+++ b/internal/node/client_close.go
@@ -49,7 +49,7 @@
 	if reason != closedByPeer && reason != closedUnwritten {
 		awaitDelivery(x.Conn)
 	}
-	_, unread := peek(x.Conn)
+	unread := hasData(x.Conn)
 	x.Conn.Close()
 	x.table.noteClose(x, reason, unread)
 }
@@ -79,7 +79,7 @@
 func (x *clientConn) refuseRest() bool {
 	by := time.Now().Add(refuseTime)
 	x.limit = available(x.Conn)
-	for x.limit != 0 || x.r.Buffered() > 0 {
+	for x.r.Buffered() > 0 || x.limit != 0 && hasData(x.Conn) {
 		if !time.Now().Before(by) {
 			x.limit = 0
 		}
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -91,7 +91,7 @@
 // mayReadOn says whether bytes have come that may be read past a deadline, for a moment in all. At a handover they are
 // left to whoever goes on.
 func (x *clientConn) mayReadOn() bool {
-	if _, data := peek(x.Conn); !data {
+	if !hasData(x.Conn) {
 		return false
 	}
 	x.table.mu.Lock()
@@ -193,7 +193,7 @@
 	_, err := x.r.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) && x.table.isClosing() {
 		// A request may have come just before: it is answered, for its client counts on that.
-		if _, data := peek(x.Conn); !data {
+		if !hasData(x.Conn) {
 			return err
 		}
 		x.SetReadDeadline(time.Now().Add(lastRequest))
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -30,7 +30,7 @@
 		if err == nil && left == 0 {
 			return
 		}
-		if _, unread := peek(conn); err != nil && !unread {
+		if err != nil && !hasData(conn) {
 			return // the system does not tell; without unread bytes there is no reset
 		}
 	}
@@ -56,10 +56,15 @@
 	return alive && err == nil, data
 }
 
+// hasData says whether something can be read without waiting.
+func hasData(conn net.Conn) bool {
+	_, data := peek(conn)
+	return data
+}
+
 // available is the number of bytes that can be read without waiting.
 func available(conn net.Conn) int {
-	_, data := peek(conn)
-	if !data {
+	if !hasData(conn) {
 		return 0
 	}
 	count, err := socketCount(conn, unix.SIOCINQ)
