Wait for the agent's first answer at a start also when a stop is told in the middle of it

Cause: closing() set the half of a message's time to now for messages that would be over before the next start, so that they go at once; the same field ends the wait for the first list of a start. 38 messages went on the saved list within 0.1 s of "ready", the first list call was sent 1 ms after the first of them. What is to go at once is past the pace, which the message's chance says.

TestStopInAStartWaitsForTheAgent: before, "sent at the stop" for a silent agent and for one whose answer has begun; after, silent: sent after half of its time, begun: not sent. The other tests of stops, starts and the golden actions are as before.

--- a/logic/ending.go
+++ b/logic/ending.go
@@ -59,7 +59,7 @@
 	s.closeAt = s.now + left
 	for _, m := range s.held {
 		if m.tries == 0 && m.deadline <= s.closeAt+awayTime {
-			m.untried, m.half, m.chance = true, s.now, s.now
+			m.untried, m.chance = true, s.now
 		}
 	}
 }
--- a/logic/membership_test.go
+++ b/logic/membership_test.go
@@ -79,6 +79,33 @@
 	}
 }
 
+// A stop told in the middle of a start had messages sent on the saved list before the agent's first answer.
+func TestStopInAStartWaitsForTheAgent(t *testing.T) {
+	for _, x := range []struct {
+		ev   Endpoints
+		half bool // sent after half of its time
+	}{{Endpoints{Form: ListFailed, Silent: true}, true}, {Endpoints{Form: ListBegun}, false}} {
+		set := base()
+		set.Pushed, set.DrainGrace = true, Second
+		r := newRig(t, set)
+		first := list(1)
+		first.Form, first.Old = ListCached, true
+		r.step(0, first)
+		c := r.call(0)
+		c.Left = 2 * Second
+		r.step(0.1, c)
+		if n := len(only[CallOut](r.step(0.15, Closing{Left: 3200_000}))); n != 0 {
+			t.Errorf("%+v: sent at the stop", x.ev)
+		}
+		if n := len(only[CallOut](r.step(0.3, x.ev))); n != 0 {
+			t.Errorf("%+v: sent before half of its time", x.ev)
+		}
+		if n := len(only[CallOut](r.step(1.2))); (n == 1) != x.half {
+			t.Errorf("%+v: %d sends after half of its time", x.ev, n)
+		}
+	}
+}
+
 // A process that takes over has no watch yet: the list is good for the grace from then on. An agent that is silent has
 // lost discovery, for it as for the one before.
 func TestTakeoverBeginsTheLeaseAnew(t *testing.T) {
