A connection whose close is under way makes no room for another

A connection that had answered all and waited for the acknowledgement of its answers was chosen to make room: nothing is gained, and its place was given up twice. rank() named the state closing only. TestConnectionThatEndsMakesNoRoom: "drained: made room" and one violation before, none after.

--- a/internal/node/client_eviction.go
+++ b/internal/node/client_eviction.go
@@ -22,7 +22,7 @@
 		last = x.heard
 	}
 	switch {
-	case x.state == connClosing || x.state == connParked || x.state == connAnswering || x.state == connReading && x.proven:
+	case x.state >= connAnswering || x.state == connReading && x.proven: // it is owed an answer, or ends already
 		return -1, last
 	case x.proven && now.Sub(x.since) >= idleLeast || !x.proven && now.Sub(last) >= idleLeast:
 		return 0, last
--- a/internal/node/close_test.go
+++ b/internal/node/close_test.go
@@ -205,6 +205,24 @@
 	}
 }
 
+// A connection whose close was under way was closed again to make room for another.
+func TestConnectionThatEndsMakesNoRoom(t *testing.T) {
+	c := answeringClients(t)
+	mine, theirs := net.Pipe()
+	defer theirs.Close()
+	x := newClientConn(c, mine, time.Now().Add(-time.Minute))
+	c.conns[mine] = x
+	for _, state := range []connState{connAnswering, connParked, connClosing, connDrained} {
+		x.state = state
+		if c.makeRoom(rankNew) {
+			t.Errorf("%v: made room", state)
+		}
+	}
+	if n := c.guard.violations(); n != 0 {
+		t.Errorf("%d violations", n)
+	}
+}
+
 // seen tells once so many bytes wait to be read.
 func seen(conn net.Conn, count int) <-chan bool {
 	ch := make(chan bool, 1)
