--- a/internal/discovery/directory.go
+++ b/internal/discovery/directory.go
@@ -23,18 +23,18 @@
 // Directory is the replica of the list: it maps names to the module's numbers and numbers to targets. Only the owner of
 // the loop changes it; others may read it at any time. An endpoint takes some 150 bytes and its name and address.
 type Directory struct {
-	mu     sync.RWMutex
-	zones  labels
-	kinds  labels
-	ids    map[string]logic.EndpointID
-	pages  map[logic.EndpointID]*page // by number / pageSize
-	last   logic.EndpointID
-	gone   map[logic.EndpointID]time.Time // since when what has a number is not listed
-	listed int
-	doubts int                                     // records whose state is not known
-	told   map[int64]int                           // endpoints of a destination that are up and told
-	spare  map[int64]map[logic.EndpointID]struct{} // endpoints of one that are listed and not told
-	aside  int                                     // all of those
+	mu           sync.RWMutex
+	zones        labels
+	kinds        labels
+	ids          map[string]logic.EndpointID
+	pages        map[logic.EndpointID]*page // by number / pageSize
+	last         logic.EndpointID
+	gone         map[logic.EndpointID]time.Time // since when what has a number is not listed
+	listed       int
+	doubts       int                                     // records whose state is not known
+	told         map[int64]int                           // endpoints of a destination that are up and told
+	omitted      map[int64]map[logic.EndpointID]struct{} // endpoints of one that are listed and not told
+	omittedCount int                                     // all of those
 }
 
 type page struct {
@@ -144,7 +144,7 @@
 	}
 	return &Directory{zones: newLabels(zones), kinds: newLabels(names), ids: map[string]logic.EndpointID{},
 		pages: map[logic.EndpointID]*page{}, gone: map[logic.EndpointID]time.Time{}, told: map[int64]int{},
-		spare: map[int64]map[logic.EndpointID]struct{}{}}
+		omitted: map[int64]map[logic.EndpointID]struct{}{}}
 }
 
 // record is the place of a number's record; nil if there is none.
@@ -162,7 +162,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	rows := make([]logic.Entry, 0, len(u.Rows))
-	var short []int64 // destinations that may have room for what was left aside
+	var short []int64 // destinations that may have room for what was omitted
 	for i := range u.Rows {
 		in := &u.Rows[i]
 		id := d.number(in.ID)
@@ -181,14 +181,14 @@
 			row.State = logic.Gone
 		}
 		rows = append(rows, row)
-		if len(d.spare[left]) > 0 {
+		if len(d.omitted[left]) > 0 {
 			short = append(short, left)
 		}
 	}
 	for _, dest := range short {
 		rows = d.fill(dest, rows)
 	}
-	u.Aside = d.aside
+	u.Omitted = d.omittedCount
 	return rows
 }
 
@@ -200,9 +200,9 @@
 			delete(d.told, r.dest)
 		}
 	case !r.told && r.state.listed():
-		d.aside--
-		if delete(d.spare[r.dest], id); len(d.spare[r.dest]) == 0 {
-			delete(d.spare, r.dest)
+		d.omittedCount--
+		if delete(d.omitted[r.dest], id); len(d.omitted[r.dest]) == 0 {
+			delete(d.omitted, r.dest)
 		}
 	}
 }
@@ -221,18 +221,18 @@
 		r.told = true
 	default:
 		r.told = false
-		if d.spare[r.dest] == nil {
-			d.spare[r.dest] = map[logic.EndpointID]struct{}{}
+		if d.omitted[r.dest] == nil {
+			d.omitted[r.dest] = map[logic.EndpointID]struct{}{}
 		}
-		d.spare[r.dest][id] = struct{}{}
-		d.aside++
+		d.omitted[r.dest][id] = struct{}{}
+		d.omittedCount++
 	}
 	return r.told
 }
 
-// fill tells the module of endpoints that were left aside, as far as there is room.
+// fill tells the module of endpoints that were omitted, as far as there is room.
 func (d *Directory) fill(dest int64, rows []logic.Entry) []logic.Entry {
-	for id := range d.spare[dest] {
+	for id := range d.omitted[dest] {
 		r := d.record(id)
 		if d.told[dest] >= tellMost {
 			break
--- a/internal/discovery/directory_test.go
+++ b/internal/discovery/directory_test.go
@@ -78,7 +78,7 @@
 		whole.Instances = append(whole.Instances, Instance{ID: fmt.Sprint(i), HostPort: "h:1", Dest: 1, Lifecycle: "up"})
 	}
 	whole.Instances = append(whole.Instances, Instance{ID: "other", HostPort: "h:1", Dest: 2, Lifecycle: "up"})
-	check := func(what string, l List, wantUp, wantAside int) {
+	check := func(what string, l List, wantUp, wantOmitted int) {
 		t.Helper()
 		u := d.Reduce(l)
 		for _, row := range d.Apply(&u, time.Now()) {
@@ -96,8 +96,8 @@
 				ready++
 			}
 		}
-		if ready != wantUp || other != 1 || u.Aside != wantAside || len(d.Entries()) != len(module) {
-			t.Errorf("%s: the module has %d (%d of another), %d left aside, %d entries of %d", what, ready, other, u.Aside,
+		if ready != wantUp || other != 1 || u.Omitted != wantOmitted || len(d.Entries()) != len(module) {
+			t.Errorf("%s: the module has %d (%d of another), %d omitted, %d entries of %d", what, ready, other, u.Omitted,
 				len(d.Entries()), len(module))
 		}
 	}
@@ -121,8 +121,8 @@
 		moved.Instances[i].Dest = int64(3 + i)
 	}
 	u := d.Reduce(moved)
-	if d.Apply(&u, time.Now()); u.Aside != 0 || len(d.Entries()) != all+1 || len(d.told) != all+1 || len(d.spare) != 0 {
-		t.Errorf("each of its own: %d left aside, %d entries, %d destinations", u.Aside, len(d.Entries()), len(d.told))
+	if d.Apply(&u, time.Now()); u.Omitted != 0 || len(d.Entries()) != all+1 || len(d.told) != all+1 || len(d.omitted) != 0 {
+		t.Errorf("each of its own: %d omitted, %d entries, %d destinations", u.Omitted, len(d.Entries()), len(d.told))
 	}
 }
 
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -26,5 +26,5 @@
 	Rows       []Instance // what the list no longer has comes first, as removed
 	Unusable   int        // rows of the answer that made no sense; what they name stays as it was
 	Duplicates int        // rows of the answer with the id of an earlier one, which they replace
-	Aside      int        // set by Apply: listed endpoints that the module is not told of, as their destinations have so many
+	Omitted    int        // set by Apply: listed endpoints that the module is not told of, as their destinations have so many
 }
--- a/internal/node/calls.go
+++ b/internal/node/calls.go
@@ -487,8 +487,8 @@
 	return true
 }
 
-// spare takes all idle connections out.
-func (c *caller) spare() map[logic.EndpointID][]*idleConn {
+// takeIdle takes all idle connections out.
+func (c *caller) takeIdle() map[logic.EndpointID][]*idleConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all := c.idle
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -20,23 +20,23 @@
 )
 
 const (
-	lockName     = "lock"     // in the state folder: whoever holds its lock owns the messages
-	socketName   = "handover" // beside it: where the owner hands over
-	handWord     = "take 1"   // what a successor says first; the number is that of the form: all in one text ...
-	handRows     = "take 2"   // ... or a text, and the tables row by row
-	handTaken    = "taken\n"  // and last
-	handTime     = time.Second
-	handPause    = 50 * time.Millisecond  // before the owner is asked again
-	freezeTime   = 100 * time.Millisecond // for half-read requests to come to their end before the state is packed
-	freezeLook   = time.Millisecond
-	lingerAdmin  = 2 * time.Second // after a handover, for operators that still call the old address
-	spareSockets = 16              // of each process: lock, journal, discovery, notices and the like
-	handBatch    = 200             // descriptors in one message; the kernel takes 253
-	mostText     = 64 << 20
-	textEach     = 600             // bytes of one text for each name, at least
-	mostRow      = 1 << 20         // bytes
-	handStall    = 2 * time.Second // a successor that takes nothing for so long has failed
-	handRest     = time.Second     // after a transfer that failed, before the next: each keeps the owner from its work
+	lockName            = "lock"     // in the state folder: whoever holds its lock owns the messages
+	socketName          = "handover" // beside it: where the owner hands over
+	handWord            = "take 1"   // what a successor says first; the number is that of the form: all in one text ...
+	handRows            = "take 2"   // ... or a text, and the tables row by row
+	handTaken           = "taken\n"  // and last
+	handTime            = time.Second
+	handPause           = 50 * time.Millisecond  // before the owner is asked again
+	freezeTime          = 100 * time.Millisecond // for half-read requests to come to their end before the state is packed
+	freezeLook          = time.Millisecond
+	lingerAdmin         = 2 * time.Second // after a handover, for operators that still call the old address
+	reservedDescriptors = 16              // of each process: lock, journal, discovery, notices and the like
+	handBatch           = 200             // descriptors in one message; the kernel takes 253
+	mostText            = 64 << 20
+	textEach            = 600             // bytes of one text for each name, at least
+	mostRow             = 1 << 20         // bytes
+	handStall           = 2 * time.Second // a successor that takes nothing for so long has failed
+	handRest            = time.Second     // after a transfer that failed, before the next: each keeps the owner from its work
 )
 
 var (
@@ -222,7 +222,7 @@
 // their outcome.
 func (n *Node) afoot() (count int) {
 	for _, h := range n.held {
-		if h.stop == nil || h.aside != nil {
+		if h.stop == nil || h.parked != nil {
 			continue
 		}
 		count++
@@ -263,16 +263,16 @@
 	for id, t := range n.recent {
 		p.Recent[id] = n.clock.Micros(t)
 	}
-	room := n.sockets/2 - spareSockets
+	room := n.sockets/2 - reservedDescriptors
 	c := &handConns{}
 	for id, h := range n.held {
 		p.Held = append(p.Held, transferHeld{id, h.tries, h.over, h.msg.Deadline})
-		if h.aside != nil {
+		if h.parked != nil {
 			in := h.call
-			got, _ := h.aside.r.Peek(h.aside.r.Buffered())
+			got, _ := h.parked.r.Peek(h.parked.r.Buffered())
 			p.Calls = append(p.Calls, transferCall{id, in.attempt, in.ep, n.clock.Micros(in.at),
 				n.clock.Micros(in.at.Add(in.giveUp)), got})
-			c.calls, c.of = append(c.calls, h.aside), append(c.of, h)
+			c.calls, c.of = append(c.calls, h.parked), append(c.of, h)
 			room--
 		}
 	}
@@ -280,7 +280,7 @@
 	some := max(min(len(parked), room), 0)
 	c.clients, p.Clients = parked[:some], states[:some]
 	room -= some
-	for ep, list := range n.caller.spare() {
+	for ep, list := range n.caller.takeIdle() {
 		for _, conn := range list {
 			if room--; room < 0 {
 				conn.Close()
@@ -377,7 +377,7 @@
 // unfreeze goes on with what was packed, since nobody has taken it.
 func (n *Node) unfreeze(work context.Context, c *handConns, left []net.Conn) {
 	for i, h := range c.of {
-		h.aside = nil
+		h.parked = nil
 		h.call.state.Store(callSent)
 		n.goOn(work, h, c.calls[i])
 	}
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -95,8 +95,8 @@
 	if u.Unusable > 0 || u.Duplicates > 0 {
 		n.log.Warn("list", "generation", u.Generation, "entries that make no sense", u.Unusable, "duplicates", u.Duplicates)
 	}
-	if u.Aside > 0 && len(u.Rows) > 0 {
-		n.log.Warn("list, too many endpoints of one destination", "generation", u.Generation, "left aside", u.Aside)
+	if u.Omitted > 0 && len(u.Rows) > 0 {
+		n.log.Warn("list, too many endpoints of one destination", "generation", u.Generation, "left aside", u.Omitted)
 	}
 	if len(rows) > 0 || u.Whole {
 		n.log.Info("list", "generation", u.Generation, "whole", u.Whole, "entries", len(rows), "listed", n.dir.Len())
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -15,12 +15,12 @@
 
 // held is a message that the module has and that is not over.
 type held struct {
-	msg   *Message
-	tries int
-	over  bool                    // ended; an attempt is still out
-	stop  context.CancelCauseFunc // of the attempt that is out
-	call  *call                   // that attempt
-	aside *idleConn               // its connection, once it is set aside for another process
+	msg    *Message
+	tries  int
+	over   bool                    // ended; an attempt is still out
+	stop   context.CancelCauseFunc // of the attempt that is out
+	call   *call                   // that attempt
+	parked *idleConn               // its connection, once it is parked for another process
 }
 
 // callOf is the module's view of a message.
@@ -81,7 +81,7 @@
 	}
 	r := ev.result
 	if r.parked != nil {
-		h.aside = r.parked
+		h.parked = r.parked
 		return
 	}
 	if h.stop != nil {
