Give the agent time for its first answer at a start, however little time a message has left

Cause: pushedTill let no message wait beyond half of its time, and what a restart finds may have 0.1 s left: it went before the agent could answer, also a healthy one. The wait is now 0.3 s at least, the limit of that call; what has less is over by then and ends unsent. A silent agent is waited for as before. TestShortMessageWaitsForTheFirstAnswer: "at 0.12: 1 sends" before, none after, and sent at once when the answer comes.

--- a/logic/membership.go
+++ b/logic/membership.go
@@ -7,7 +7,7 @@
 
 const (
 	staleMost = 4 * Second // nothing is sent on an old list for so long: discovery may be down for longer
-	savedMost = 300_000    // nor on a saved one: the first answer comes at once if discovery has time
+	savedMost = 300_000    // nor on a saved one: the first answer comes at once if discovery has time for it
 	askGap    = 50_000     // first pause before the list is asked for again; what changes ...
 	askMost   = Second / 2 // ... meanwhile counts as known, so the longest is under a drain's grace
 	askEach   = 25_000     // the first pause for each of many senders, whose calls add up
@@ -157,8 +157,8 @@
 // pushedTill is that time where an agent pushes the list. What the agent has counts as known from the first
 // moment of a process and with no watch open, so the list is good for the drain's grace from the moment the
 // last watch ended. An agent that says nothing has lost discovery and learns nothing: then the list stands. A
-// start knows nothing of what the agent had: it waits for its first answer, but no message waits for that
-// beyond half of its time where the agent is silent.
+// start knows nothing of what the agent had: it waits for its first answer, but where the agent is silent no
+// message waits beyond half of its time, once the agent has had time for an answer.
 func (s *Sender) pushedTill(m *msg) Micros {
 	if s.watched {
 		return longAgo
@@ -173,7 +173,7 @@
 	case s.unusableAt != 0:
 		return max(from, s.unusableAt) + unusableMost
 	case s.saved: // the agent may have told the process before what is not in its list
-		return min(from+unusableMost, m.half)
+		return min(from+unusableMost, max(from+savedMost, m.half))
 	case s.silent:
 		return longAgo
 	}
--- a/logic/membership_test.go
+++ b/logic/membership_test.go
@@ -79,6 +79,32 @@
 	}
 }
 
+// A message with little time left was sent on the saved list of a start before the agent could answer.
+func TestShortMessageWaitsForTheFirstAnswer(t *testing.T) {
+	for _, x := range []struct {
+		at     float64
+		answer bool
+		sent   bool
+	}{{0.12, false, false}, {0.12, true, true}, {0.25, false, false}} {
+		set := base()
+		set.Pushed, set.DrainGrace = true, Second
+		r := newRig(t, set)
+		first := list(1)
+		first.Form, first.Old = ListCached, true
+		r.step(0, first)
+		c := r.call(0)
+		c.Left = Second / 5
+		sent := len(only[CallOut](r.step(0.01, c)))
+		if x.answer {
+			sent += len(only[CallOut](r.step(0.02, Endpoints{Form: ListDelta})))
+		}
+		sent += len(only[CallOut](r.step(x.at)))
+		if (sent == 1) != x.sent {
+			t.Errorf("%+v: %d sends", x, sent)
+		}
+	}
+}
+
 // A stop told in the middle of a start had messages sent on the saved list before the agent's first answer.
 func TestStopInAStartWaitsForTheAgent(t *testing.T) {
 	for _, x := range []struct {
