Soak: find out what was read once all senders have ended; share the look at the socket with the tests

One line named a request of n1 as read without an answer: its process stood still for 1.25 s between the eviction of that connection and its close, and the look at the socket gave it 1 s. The look now comes once all processes have ended, when the kernel has closed everything: nothing that is merely slow counts.

ReadByPeer (internal/scale/standin) is the one place that reads the socket's state; the two process tests judge after the process's end as well, and share their setup.

--- a/internal/node/close_process_test.go
+++ b/internal/node/close_process_test.go
@@ -14,30 +14,12 @@
 	"time"
 
 	"crossdeal/internal/discovery"
+	"crossdeal/internal/scale/standin"
 )
 
 // closeSettle is how long a reset may take to arrive behind the end of a stream.
 const closeSettle = 150 * time.Millisecond
 
-// tcpCloseWait is the state of a socket whose peer has ended its sending and has reset nothing (TCP_CLOSE_WAIT).
-const tcpCloseWait = 8
-
-// wasRead says of a connection whose end has been read under a request whether the sender had read all that was written
-// to it: what lies unread at a close, or comes after it, brings a reset. The sender must have closed it by now.
-func wasRead(t *testing.T, conn net.Conn) bool {
-	t.Helper()
-	raw, err := conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		t.Error(err)
-		return false
-	}
-	state := 0
-	raw.Control(func(fd uintptr) {
-		state, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
-	})
-	return err == nil && state&0xff == tcpCloseWait // the state is the first byte of the structure
-}
-
 // closeTally counts how requests ended that were written to connections which a sender closes.
 type closeTally struct {
 	answered atomic.Int64
@@ -45,8 +27,29 @@
 	lost     atomic.Int64 // read, and the connection ended with no answer
 }
 
-// sendUntilClosed sends one request after the other on a connection until the sender ends it.
-func (x *closeTally) sendUntilClosed(t *testing.T, conn net.Conn, requests []string, rng *rand.Rand) {
+// check fails the test if requests were lost, or fewer than some were answered at all.
+func (x *closeTally) check(t *testing.T, least int64) {
+	t.Helper()
+	if n := x.lost.Load(); n > 0 {
+		t.Errorf("%d requests were read and have no answer (%d answered, %d crossed the close)", n, x.answered.Load(), x.crossed.Load())
+	}
+	if n := x.answered.Load(); n < least {
+		t.Errorf("%d requests were answered", n)
+	}
+}
+
+// startWithEndpoint starts a process that knows one endpoint.
+func startWithEndpoint(t *testing.T) *process {
+	t.Helper()
+	p := newPlatform(t)
+	known := discovery.List{Generation: 1, Reset: true, Instances: instances(newEndpoint(t))}
+	p.list = known
+	return startProcess(t, p, t.TempDir(), known)
+}
+
+// sendUntilClosed sends one request after the other on a connection until the sender ends it. What was read it judges
+// once the sender's process has ended.
+func (x *closeTally) sendUntilClosed(conn net.Conn, requests []string, rng *rand.Rand, processEnded <-chan struct{}) {
 	r := bufio.NewReader(conn)
 	for i := 0; ; i++ {
 		time.Sleep(time.Duration(rng.Int64N(int64(4 * time.Millisecond))))
@@ -60,8 +63,9 @@
 			x.answered.Add(1)
 			continue
 		case errors.Is(err, io.EOF):
+			<-processEnded
 			time.Sleep(closeSettle)
-			if wasRead(t, conn) {
+			if standin.ReadByPeer(conn) {
 				x.lost.Add(1)
 				return
 			}
@@ -88,37 +92,31 @@
 	requests := []string{respText("PING"), respText("MSG.PUT", "0", "a", "c=safe,t=acme,d=9000,dest=1", "x")}
 	var tally closeTally
 	for range runs {
-		p := newPlatform(t)
-		known := discovery.List{Generation: 1, Reset: true, Instances: instances(newEndpoint(t))}
-		p.list = known
-		x := startProcess(t, p, t.TempDir(), known)
+		x := startWithEndpoint(t)
 		var all sync.WaitGroup
+		ended := make(chan struct{})
 		for i := range clients {
 			conn := dial(t, x.addr).conn
 			seed := rng.Uint64()
-			all.Go(func() { tally.sendUntilClosed(t, conn, requests, rand.New(rand.NewPCG(seed, uint64(i)))) })
+			all.Go(func() { tally.sendUntilClosed(conn, requests, rand.New(rand.NewPCG(seed, uint64(i))), ended) })
 		}
 		time.Sleep(50 * time.Millisecond)
 		x.term()
 		time.Sleep(acceptOn - 20*time.Millisecond)
 		holdUp(x, rng, time.Now().Add(700*time.Millisecond))
+		x.end()
+		close(ended)
 		all.Wait()
-		x.kill()
 		for _, line := range x.broken() {
 			t.Error(line)
 		}
 	}
-	if n := tally.lost.Load(); n > 0 {
-		t.Errorf("%d requests were read and have no answer (%d answered, %d crossed the close)", n, tally.answered.Load(), tally.crossed.Load())
-	}
-	if tally.answered.Load() < clients*runs {
-		t.Errorf("%d requests were answered", tally.answered.Load())
-	}
+	tally.check(t, clients*runs)
 }
 
 // sendAheadUntilClosed keeps requests outstanding on a connection, some in each write, until the sender ends it. What
 // was read it judges once the sender's process has ended.
-func (x *closeTally) sendAheadUntilClosed(t *testing.T, conn net.Conn, request string, processEnded <-chan struct{}) {
+func (x *closeTally) sendAheadUntilClosed(conn net.Conn, request string, processEnded <-chan struct{}) {
 	const each, ahead = 20, 60
 	r := bufio.NewReader(conn)
 	text := strings.Repeat(request, each)
@@ -137,7 +135,7 @@
 		case errors.Is(err, io.EOF):
 			<-processEnded
 			time.Sleep(closeSettle)
-			if wasRead(t, conn) {
+			if standin.ReadByPeer(conn) {
 				x.lost.Add(int64(outstanding))
 				return
 			}
@@ -153,10 +151,7 @@
 	rng := rand.New(rand.NewPCG(2, 2))
 	var tally closeTally
 	for range runs {
-		p := newPlatform(t)
-		known := discovery.List{Generation: 1, Reset: true, Instances: instances(newEndpoint(t))}
-		p.list = known
-		x := startProcess(t, p, t.TempDir(), known)
+		x := startWithEndpoint(t)
 		var all sync.WaitGroup
 		ended := make(chan struct{})
 		for i := range clients {
@@ -164,7 +159,7 @@
 			if i%2 == 0 {
 				request = respText(putWords("a")...)
 			}
-			all.Go(func() { tally.sendAheadUntilClosed(t, conn, request, ended) })
+			all.Go(func() { tally.sendAheadUntilClosed(conn, request, ended) })
 		}
 		time.Sleep(50 * time.Millisecond)
 		x.term()
@@ -182,10 +177,5 @@
 			t.Error(line)
 		}
 	}
-	if n := tally.lost.Load(); n > 0 {
-		t.Errorf("%d requests were read and have no answer (%d answered, %d crossed the close)", n, tally.answered.Load(), tally.crossed.Load())
-	}
-	if tally.answered.Load() < clients*runs {
-		t.Errorf("%d requests were answered", tally.answered.Load())
-	}
+	tally.check(t, clients*runs)
 }
--- a/internal/node/close_test.go
+++ b/internal/node/close_test.go
@@ -7,6 +7,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"crossdeal/internal/scale/standin"
 )
 
 // clientSide is a connection whose other end is a sender's client table.
@@ -262,7 +264,7 @@
 			c.wg.Wait()
 			stop()
 			time.Sleep(10 * time.Millisecond)
-			if wasRead(t, side.conn) {
+			if standin.ReadByPeer(side.conn) {
 				t.Error("the request that crossed was read")
 			}
 		})
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -10,8 +10,9 @@
 	"os"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
+
+	"crossdeal/internal/scale/standin"
 )
 
 // answerLimit is how long a client waits for the answer to a request.
@@ -23,8 +24,6 @@
 	crowdMost    = 300              // more than a sender's table holds
 	restMost     = 20 * time.Second // for which a client rests on a connection until the sender ends it
 	splitPause   = 5 * time.Millisecond
-	settleMost   = time.Second // for a sender that is held up to finish a close that it has begun
-	settleLook   = 20 * time.Millisecond
 )
 
 // habit is how a client uses its connections.
@@ -62,8 +61,15 @@
 
 // requests keeps what clients handed in.
 type requests struct {
-	mu   sync.Mutex
-	list []*Request
+	mu    sync.Mutex
+	list  []*Request
+	ended []endedConn
+}
+
+// endedConn is a connection that a sender has ended before it had answered all requests.
+type endedConn struct {
+	net.Conn
+	unanswered []*Request
 }
 
 func (q *requests) add(r *Request) {
@@ -72,6 +78,27 @@
 	q.list = append(q.list, r)
 }
 
+func (q *requests) addEnded(conn net.Conn, unanswered []*Request) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.ended = append(q.ended, endedConn{conn, unanswered})
+}
+
+// findRead finds out which unanswered requests their senders had read. All senders must have ended: what one that is held
+// up has not closed yet would look as if it were read.
+func (q *requests) findRead() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, conn := range q.ended {
+		read := standin.ReadByPeer(conn.Conn)
+		for _, r := range conn.unanswered {
+			r.WasRead = read
+		}
+		conn.Close()
+	}
+	q.ended = nil
+}
+
 // client hands messages to one sender, one at a time, until stop is closed.
 type client struct {
 	name   string
@@ -83,10 +110,9 @@
 	out    *requests
 	stop   <-chan struct{}
 
-	conn   net.Conn
-	r      *bufio.Reader
-	next   int
-	closes sync.WaitGroup // looks at connections that the sender has ended
+	conn net.Conn
+	r    *bufio.Reader
+	next int
 }
 
 // load is what clients hand in.
@@ -99,7 +125,6 @@
 }
 
 func (c *client) run() {
-	defer c.closes.Wait()
 	defer c.hangUp()
 	for {
 		select {
@@ -179,7 +204,8 @@
 	}
 	switch {
 	case errors.Is(err, io.EOF) && c.habit != habitHalfEnd:
-		c.leaveTo(unanswered)
+		c.out.addEnded(c.conn, unanswered)
+		c.conn = nil
 	case err != nil || c.habit == habitHalfEnd:
 		c.hangUp()
 	}
@@ -228,41 +254,6 @@
 	return err
 }
 
-// leaveTo leaves a connection that the sender has ended, and finds out whether it had read the requests without an answer.
-func (c *client) leaveTo(unanswered []*Request) {
-	conn := c.conn
-	c.conn = nil
-	c.closes.Go(func() {
-		defer conn.Close()
-		read := wasRead(conn)
-		for _, q := range unanswered {
-			q.WasRead = read
-		}
-	})
-}
-
-// tcpCloseWait is the state of a socket whose peer has ended its sending and has reset nothing (TCP_CLOSE_WAIT).
-const tcpCloseWait = 8
-
-// wasRead says of a connection that the sender has ended whether it had read all that was written to it: what lies unread
-// at its close, or comes after it, brings a reset.
-func wasRead(conn net.Conn) bool {
-	raw, err := conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	for by := time.Now().Add(settleMost); time.Now().Before(by); time.Sleep(settleLook) {
-		state := 0
-		raw.Control(func(fd uintptr) {
-			state, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, syscall.TCP_INFO)
-		})
-		if err != nil || state&0xff != tcpCloseWait { // the state is the first byte of the structure
-			return false
-		}
-	}
-	return true
-}
-
 // command is a request in RESP2.
 func command(words ...string) string {
 	var b strings.Builder
--- a/internal/soak/process_faults.go
+++ b/internal/soak/process_faults.go
@@ -144,7 +144,6 @@
 	}
 	s.kill()
 	c.hangUp()
-	c.closes.Wait()
 }
 
 // place is the place of a sender among all.
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -94,6 +94,7 @@
 	close(stop)
 	clients.Wait()
 	w.settle()
+	w.requests.findRead()
 	return w.judge(failures), nil
 }
 
--- a/logic/membership_test.go
+++ b/logic/membership_test.go
@@ -53,6 +53,17 @@
 	}
 }
 
+// startOnSavedList is a sender with a grace of a second that starts on a list that may be old, where an agent pushes it.
+func startOnSavedList(t *testing.T) *rig {
+	set := base()
+	set.Pushed, set.DrainGrace = true, Second
+	r := newRig(t, set)
+	first := list(1)
+	first.Form, first.Old = ListCached, true
+	r.step(0, first)
+	return r
+}
+
 // A message waits for an agent that is silent at a start for half of its time, and for one whose answers are of no use for
 // as long as they come.
 func TestStartWaitsForTheAgent(t *testing.T) {
@@ -60,12 +71,7 @@
 		ev   Endpoints
 		half bool
 	}{{Endpoints{Form: ListFailed, Silent: true}, true}, {Endpoints{Form: ListUnusable}, false}} {
-		set := base()
-		set.Pushed, set.DrainGrace = true, Second
-		r := newRig(t, set)
-		first := list(1)
-		first.Form, first.Old = ListCached, true
-		r.step(0, first)
+		r := startOnSavedList(t)
 		c := r.call(0)
 		c.Left = 8 * Second
 		r.step(0.1, c)
@@ -86,12 +92,7 @@
 		answer bool
 		sent   bool
 	}{{0.12, false, false}, {0.12, true, true}, {0.25, false, false}} {
-		set := base()
-		set.Pushed, set.DrainGrace = true, Second
-		r := newRig(t, set)
-		first := list(1)
-		first.Form, first.Old = ListCached, true
-		r.step(0, first)
+		r := startOnSavedList(t)
 		c := r.call(0)
 		c.Left = Second / 5
 		sent := len(only[CallOut](r.step(0.01, c)))
@@ -111,12 +112,7 @@
 		ev   Endpoints
 		half bool // sent after half of its time
 	}{{Endpoints{Form: ListFailed, Silent: true}, true}, {Endpoints{Form: ListBegun}, false}} {
-		set := base()
-		set.Pushed, set.DrainGrace = true, Second
-		r := newRig(t, set)
-		first := list(1)
-		first.Form, first.Old = ListCached, true
-		r.step(0, first)
+		r := startOnSavedList(t)
 		c := r.call(0)
 		c.Left = 2 * Second
 		r.step(0.1, c)
