Process tests share how they judge an ended connection; soak without a dead constant and a search of its own

Read again: both tests repeated the look at a connection that ended under requests, the soak had a constant that nobody used and searched a slice by hand. Checks and bounds are as before.

--- a/internal/node/close_process_test.go
+++ b/internal/node/close_process_test.go
@@ -38,6 +38,19 @@
 	}
 }
 
+// unanswered counts requests on a connection that ended with err before their answers, once the sender's process has ended.
+func (x *closeTally) unanswered(conn net.Conn, err error, count int64, processEnded <-chan struct{}) {
+	if errors.Is(err, io.EOF) {
+		<-processEnded
+		time.Sleep(closeSettle)
+		if standin.ReadByPeer(conn) {
+			x.lost.Add(count)
+			return
+		}
+	}
+	x.crossed.Add(count)
+}
+
 // startWithEndpoint starts a process that knows one endpoint.
 func startWithEndpoint(t *testing.T) *process {
 	t.Helper()
@@ -57,21 +70,11 @@
 			x.crossed.Add(1)
 			return
 		}
-		_, err := r.ReadString('\n')
-		switch {
-		case err == nil:
-			x.answered.Add(1)
-			continue
-		case errors.Is(err, io.EOF):
-			<-processEnded
-			time.Sleep(closeSettle)
-			if standin.ReadByPeer(conn) {
-				x.lost.Add(1)
-				return
-			}
+		if _, err := r.ReadString('\n'); err != nil {
+			x.unanswered(conn, err, 1, processEnded)
+			return
 		}
-		x.crossed.Add(1)
-		return
+		x.answered.Add(1)
 	}
 }
 
@@ -127,21 +130,11 @@
 				return
 			}
 		}
-		_, err := r.ReadString('\n')
-		switch {
-		case err == nil:
-			x.answered.Add(1)
-			continue
-		case errors.Is(err, io.EOF):
-			<-processEnded
-			time.Sleep(closeSettle)
-			if standin.ReadByPeer(conn) {
-				x.lost.Add(int64(outstanding))
-				return
-			}
+		if _, err := r.ReadString('\n'); err != nil {
+			x.unanswered(conn, err, int64(outstanding), processEnded)
+			return
 		}
-		x.crossed.Add(int64(outstanding))
-		return
+		x.answered.Add(1)
 	}
 }
 
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -35,7 +35,6 @@
 	habitRest                 // one request, then none until the sender ends the connection: the next crosses that
 	habitSplit                // requests in two writes, whole ones before half of one
 	habitHalfEnd              // ends its sending behind its requests, and reads the answers
-	habits                    // the number of them
 )
 
 // Request is a message as the client that handed it in saw it.
--- a/internal/soak/process_faults.go
+++ b/internal/soak/process_faults.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"syscall"
 	"time"
 )
@@ -137,7 +138,8 @@
 
 // putAndKill hands a message in and kills the process right behind its answer.
 func (w *World) putAndKill(s *process, rng *rand.Rand) {
-	c := &client{name: fmt.Sprintf("m%d.k%d", w.place(s), rng.Uint32()), sender: w.place(s), addr: s.listen, rng: rng, out: &w.requests, load: w.load(0)}
+	sender := slices.Index(w.senders, s)
+	c := &client{name: fmt.Sprintf("m%d.k%d", sender, rng.Uint32()), sender: sender, addr: s.listen, rng: rng, out: &w.requests, load: w.load(0)}
 	if c.dial() {
 		c.conn.(*net.TCPConn).SetNoDelay(true)
 		c.put(1)
@@ -145,13 +147,3 @@
 	s.kill()
 	c.hangUp()
 }
-
-// place is the place of a sender among all.
-func (w *World) place(s *process) int {
-	for i, x := range w.senders {
-		if x == s {
-			return i
-		}
-	}
-	return -1
-}
