--- a/internal/node/process_test.go
+++ b/internal/node/process_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,6 +14,7 @@
 	"time"
 
 	"crossdeal/internal/discovery"
+	"crossdeal/internal/syscallfault"
 )
 
 // buildProgram builds the program once for all tests and returns its path.
@@ -22,12 +24,15 @@
 		return "", err
 	}
 	path := filepath.Join(dir, "cometrack")
-	out, err := exec.Command("go", "build", "-o", path, "../../cmd/cometrack").CombinedOutput()
+	build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", path, "../../cmd/cometrack")
+	build.Env = append(os.Environ(), "CGO_ENABLED=1")
+	out, err := build.CombinedOutput()
 	os.Stderr.Write(out)
 	return path, err
 })
 
 func TestMain(m *testing.M) {
+	syscallfault.LaunchIfRequested()
 	code := m.Run()
 	if path, err := buildProgram(); err == nil {
 		os.RemoveAll(filepath.Dir(path))
@@ -72,47 +77,62 @@
 
 // startProcessWithConfig starts the program with a given command and configuration, and waits until it is ready.
 func startProcessWithConfig(t *testing.T, p *testPlatform, dir string, text []byte, listen string, cmd *exec.Cmd) *process {
+	t.Helper()
+	return startProcessBy(t, p, dir, text, listen, cmd, (*exec.Cmd).Start)
+}
+
+// startProcessBy is startProcessWithConfig with the function that starts the command.
+func startProcessBy(t *testing.T, p *testPlatform, dir string, text []byte, listen string, cmd *exec.Cmd, start func(*exec.Cmd) error) *process {
 	t.Helper()
 	config := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(config, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd.Env = append(os.Environ(), "BALANCER_NAME=n0", "BALANCER_LISTEN="+listen, "BALANCER_OPERATOR=127.0.0.1:0",
+	cmd.Env = append(cmd.Environ(), "BALANCER_NAME=n0", "BALANCER_LISTEN="+listen, "BALANCER_OPERATOR=127.0.0.1:0",
 		"BALANCER_DISCOVERY="+strings.TrimPrefix(p.server.URL, "http://"), "BALANCER_STATE="+dir, "BALANCER_CONFIG="+config)
 	logs, err := cmd.StderrPipe()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := cmd.Start(); err != nil {
+	if err := start(cmd); err != nil {
 		t.Fatal(err)
 	}
 	x := &process{t: t, cmd: cmd, configPath: config, done: make(chan error, 1)}
 	t.Cleanup(func() { cmd.Process.Kill() })
 	addr := make(chan string, 1)
-	go func() {
-		addrOf := func(line string) string {
-			_, rest, _ := strings.Cut(line, "addr=")
-			a, _, _ := strings.Cut(rest, " ")
-			return a
-		}
-		for s := bufio.NewScanner(logs); s.Scan(); {
-			switch line := s.Text(); {
-			case strings.Contains(line, `msg="admin server" addr=`):
-				x.adminAddr = addrOf(line)
-			case strings.Contains(line, "msg=ready "):
-				addr <- addrOf(line)
-			case strings.Contains(line, `msg="rule broken"`):
-				x.mu.Lock()
-				x.violations = append(x.violations, line)
-				x.mu.Unlock()
-			}
-		}
-		x.done <- cmd.Wait()
-	}()
-	x.addr = await(t, addr, "ready program")
+	go x.readLog(logs, addr)
+	select {
+	case x.addr = <-addr:
+	case err := <-x.done:
+		t.Fatalf("the program ended before it was ready: %v", err)
+	case <-time.After(testTimeout):
+		t.Fatal("timed out waiting for the program to be ready")
+	}
 	return x
 }
 
+// readLog reads the program's log until it ends. It sends the address for clients once the program is ready.
+func (x *process) readLog(logs io.Reader, addr chan<- string) {
+	addrOf := func(line string) string {
+		_, rest, _ := strings.Cut(line, "addr=")
+		a, _, _ := strings.Cut(rest, " ")
+		return a
+	}
+	for s := bufio.NewScanner(logs); s.Scan(); {
+		switch line := s.Text(); {
+		case strings.Contains(line, `msg="admin server" addr=`):
+			x.adminAddr = addrOf(line)
+		case strings.Contains(line, "msg=ready "):
+			addr <- addrOf(line)
+		case strings.Contains(line, `msg="rule broken"`):
+			x.mu.Lock()
+			x.violations = append(x.violations, line)
+			x.mu.Unlock()
+		}
+	}
+	x.done <- x.cmd.Wait()
+}
+
 func (x *process) kill() {
 	x.t.Helper()
 	x.cmd.Process.Kill()
