--- a/internal/discovery/store.go
+++ b/internal/discovery/store.go
@@ -710,11 +710,8 @@
 	} else if info.Size() != s.fileBytes || !os.SameFile(info, s.fileInfo) {
 		return fmt.Errorf("another process has changed the file: %d bytes instead of %d", info.Size(), s.fileBytes)
 	}
-	if n, err := f.WriteAt(record, s.fileBytes); err != nil {
-		if n > 0 {
-			err = errors.Join(err, f.Truncate(s.fileBytes))
-		}
-		return err
+	if _, err := f.WriteAt(record, s.fileBytes); err != nil {
+		return errors.Join(err, f.Truncate(s.fileBytes)) // a part may be in the file, whatever count the write gave
 	}
 	s.fileBytes += int64(len(record))
 	s.saved.RowCount += len(rows)
--- a/internal/node/actions.go
+++ b/internal/node/actions.go
@@ -55,7 +55,7 @@
 			n.trace.notAccepted(p.message.ID, answer)
 			p.answer <- answer
 		case err != nil: // not journaled, so not accepted
-			p.answer <- busyAnswer(0)
+			n.refuse(p.answer)
 			n.dropUnaccepted(p.message.ID)
 			n.nextEvents = append(n.nextEvents, logic.ClientGone{ID: p.message.ID})
 		default:
@@ -76,6 +76,10 @@
 // reportDeniedCall tells the decision logic after retryDelay that a call was not sent, since the guard has denied it.
 func (n *Node) reportDeniedCall(a logic.CallOut) {
 	h := n.held[a.ID]
+	if h == nil { // not journaled in this step, so never accepted
+		n.nextEvents = append(n.nextEvents, logic.AttemptResult{ID: a.ID, MessageEnded: true, Endpoint: a.Endpoint, Outcome: logic.NotSent})
+		return
+	}
 	ev := replyEvent{&call{id: a.ID, attempt: h.attempts, endpoint: a.Endpoint, state: new(atomic.Int32)}, callResult{outcome: logic.NotSent}, 0}
 	h.attempts++
 	time.AfterFunc(retryDelay, func() { n.events <- ev })
--- a/internal/node/fault_process_test.go
+++ b/internal/node/fault_process_test.go
@@ -133,9 +133,9 @@
 // in the journal.
 func TestRefusedMessageDoesNotReturnAfterAPartialWrite(t *testing.T) {
 	for name, truncate := range map[string]bool{"truncation works": false, "truncation fails": true} {
-		r := newFaultRig(t)
 		refused := 0
 		for round := range 4 {
+			r := newFaultRig(t)
 			x := r.start()
 			var clients []*testClient
 			for range 6 {
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -113,6 +113,7 @@
 	entries        map[string]*Entry
 	disabled       map[string]bool // endpoints that an operator has disabled
 	needsRewrite   bool            // entries has changes that the file lacks: rewrite before the next append
+	tailDirty      bool            // bytes of a failed write may follow size: cut them off before the next append
 }
 
 // journalFileLimit returns the limit of the journal's file for a disk limit; diskBytes is 0 where there is none. Two
@@ -232,9 +233,9 @@
 }
 
 // Append writes records with a single write, so that a process that dies leaves no record in the file without all those
-// before it. On an error none of them is in the file, and the caller must not carry out what opAccept, opConnect,
-// opSend or an operator's command announces. Records of what has already happened are applied to the entries all the
-// same, and get into the file with the next rewrite.
+// before it. On an error the caller must not carry out what opAccept, opConnect, opSend or an operator's command
+// announces; while TailDirty, a kill may still leave some of these records to the next start. Records of what has
+// already happened are applied to the entries all the same, and get into the file with the next rewrite.
 func (j *Journal) Append(recs []record) error {
 	if len(recs) == 0 {
 		return nil
@@ -264,6 +265,9 @@
 			return err
 		}
 	}
+	if err := j.CutTail(); err != nil {
+		return err
+	}
 	if j.needsRewrite || j.size+int64(len(b)) > j.limit {
 		if err := j.Compact(); err != nil {
 			return err
@@ -272,17 +276,40 @@
 	if j.size+int64(len(b)) > j.limit {
 		return errJournalFull
 	}
-	if n, err := j.file.WriteAt(b, j.size); err != nil {
-		if n > 0 {
-			// A partial write must not precede later records: a replay would cut them off with it.
-			err = errors.Join(err, j.file.Truncate(j.size))
-		}
-		return err
+	if _, err := j.file.WriteAt(b, j.size); err != nil {
+		// Whole records may be in the file, whatever count the write gave. A replay would apply them, and cut off later
+		// records behind a torn one.
+		j.tailDirty = true
+		return errors.Join(err, j.CutTail())
 	}
 	j.size += int64(len(b))
 	return nil
 }
 
+// TailDirty reports whether bytes of a failed write could not be cut off: the next start may find records in the file
+// whose Append has failed.
+func (j *Journal) TailDirty() bool { return j.tailDirty }
+
+// CutTail cuts off what a failed write has left behind the last record, by a rewrite if the file cannot be truncated.
+func (j *Journal) CutTail() error {
+	if !j.tailDirty {
+		return nil
+	}
+	if info, err := j.file.Stat(); err == nil && info.Size() <= j.size {
+		j.tailDirty = false // nothing was written
+		return nil
+	}
+	err := j.file.Truncate(j.size)
+	if err == nil {
+		j.tailDirty = false
+		return nil
+	}
+	if rewriteErr := j.Compact(); rewriteErr != nil {
+		return errors.Join(err, rewriteErr)
+	}
+	return nil
+}
+
 func appendRecord(b []byte, rec record) ([]byte, error) {
 	body, err := json.Marshal(rec)
 	if err != nil {
@@ -326,7 +353,7 @@
 		return errors.Join(err, os.Remove(j.path(".new")))
 	}
 	j.file.Close()
-	j.file, j.size, j.needsRewrite = f, int64(len(b)), false
+	j.file, j.size, j.needsRewrite, j.tailDirty = f, int64(len(b)), false, false
 	return nil
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -150,6 +150,8 @@
 			n.log.Error("journal", "err", err)
 		}
 		n.pendingRecords = nil
+	case journalRetryEvent:
+		n.repairJournal()
 	case closingEvent:
 		n.closing = true
 		n.nextEvents = append(n.nextEvents, logic.Stopping{TimeLeft: toMicros(ev.timeLeft)})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -75,6 +75,7 @@
 	closing        bool
 	newPuts        []putEvent
 	pendingRecords []record
+	unsaved        unsaved
 }
 
 // New makes a sender and replays its journal. If another process owns the state, New leaves the journal alone, and Run
@@ -266,6 +267,7 @@
 		n.finishAfterHandover(ctx)
 		return nil
 	}
+	n.answerRefusals()
 	n.answerLateMessages(exitBy)
 	n.log.Info("stopped", "owed", len(n.journal.entries), "violations", n.guard.violationTotal())
 	return err
