--- a/internal/node/actions.go
+++ b/internal/node/actions.go
@@ -48,6 +48,7 @@
 	n.pendingRecords = nil
 	if err != nil {
 		n.log.Error("journal", "err", err)
+		n.scheduleJournalRetry()
 	}
 	for _, p := range n.newPuts {
 		switch answer := answers[p.message.ID]; {
@@ -103,7 +104,7 @@
 		if h := n.held[notice.ID]; h != nil && !h.ended {
 			n.trace.ended(notice)
 			n.endMessage(notice.ID, h)
-			n.notices.add(notice)
+			n.tellEnd(notice, n.clock.Time(h.message.Deadline))
 		}
 	case logic.SetTimer:
 		ev := logic.TimerExpired{Token: a.Token}
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -297,6 +297,7 @@
 	}
 	if err := n.journal.Append([]record{rec}); err != nil {
 		n.log.Error("journal", "err", err)
+		n.scheduleJournalRetry()
 		command.answer <- errors.New("not written to the journal")
 		return
 	}
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -21,6 +21,7 @@
 	err := n.journal.Append([]record{n.sendRecord(req.call.id, req.call.endpoint)})
 	if err != nil {
 		n.log.Error("journal", "err", err)
+		n.scheduleJournalRetry()
 		time.AfterFunc(retryDelay, func() { req.answer <- false }) // a full disk may have space later
 		return
 	}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -189,7 +189,11 @@
 		n.executeActions(work, n.sender.ApplyWithoutSending(toMicros(time.Since(n.clockOrigin)), events))
 	}
 	state, conns, unsent := n.packState(next.takesRows)
-	err := n.sendState(next, state, conns, stopped)
+	err := n.journal.Flush() // the successor has only the file
+	if err == nil {
+		n.answerRefusals()
+		err = n.sendState(next, state, conns, stopped)
+	}
 	if err != nil && !errors.Is(err, errHandedOver) {
 		n.log.Error("handover failed, going on", "err", err)
 		n.unfreeze(work, conns, unsent)
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -7,9 +7,10 @@
 //   - opAccept is in the file before the client gets its +OK.
 //   - opConnect is in the file before a call connects, and opSend before the first byte of a call is written. After a
 //     crash an attempt with only opConnect has not run, and one with opSend and no outcome may have run.
-//   - opOutcome and opDone follow the end of an attempt, and opEndWithNotice comes before the notice is sent.
-//     opNoticeConfirmed follows the platform's confirmation, and the message leaves the journal.
-//     If writing one of these fails, the sender continues, and the next rewrite of the file stores it.
+//   - opOutcome and opDone follow the end of an attempt. If writing one of these fails, the sender continues, and the
+//     record is written with the next ones.
+//   - opEndWithNotice is in the file before the notice is sent, or the message's deadline has passed: no start sends it
+//     any more. opNoticeConfirmed follows the platform's confirmation, and the message leaves the journal.
 //   - opDisableEndpoint and opEnableEndpoint are in the file before the operator gets an answer.
 //
 // Records are written with plain writes and no fsync: they survive the death of the process, and not a crash of the
@@ -93,6 +94,8 @@
 	// acceptShare is the fraction of a file that entries may fill before new messages are rejected. The rest is for the
 	// records that follow on messages already accepted.
 	acceptShare = 0.6
+	// maxBacklogBytes bounds the records that wait to be written; with more, the file is rewritten instead.
+	maxBacklogBytes = 64 << 10
 	// maxJournalFileBytes bounds a file where the platform sets no tighter limit; files may count as memory.
 	maxJournalFileBytes = 16 << 20
 )
@@ -112,7 +115,9 @@
 	lastSequence   int
 	entries        map[string]*Entry
 	disabled       map[string]bool // endpoints that an operator has disabled
-	needsRewrite   bool            // entries has changes that the file lacks: rewrite before the next append
+	backlog        []byte          // records that are applied to entries and could not be written yet
+	needsRewrite   bool            // entries has further changes that the file lacks: rewrite before the next append
+	failing        bool            // the last write has failed
 	tailDirty      bool            // bytes of a failed write may follow size: cut them off before the next append
 }
 
@@ -235,44 +240,90 @@
 // Append writes records with a single write, so that a process that dies leaves no record in the file without all those
 // before it. On an error the caller must not carry out what opAccept, opConnect, opSend or an operator's command
 // announces; while TailDirty, a kill may still leave some of these records to the next start. Records of what has
-// already happened are applied to the entries all the same, and get into the file with the next rewrite.
+// already happened are applied to the entries all the same, and are written with the next append, or by Flush.
 func (j *Journal) Append(recs []record) error {
 	if len(recs) == 0 {
 		return nil
 	}
 	err := j.write(recs)
 	for _, rec := range recs {
-		switch rec.Op {
-		case opAccept, opConnect, opSend, opDisableEndpoint, opEnableEndpoint:
-			if err != nil {
+		if err != nil {
+			if rec.Op.announces() {
 				continue
 			}
+			j.addToBacklog(rec)
 		}
 		j.apply(rec)
 	}
 	if err != nil {
-		j.needsRewrite = true
 		return fmt.Errorf("journal: %w", err)
 	}
 	return nil
 }
 
+// announces reports whether a record says what is about to happen: without the record it does not.
+func (o op) announces() bool {
+	switch o {
+	case opAccept, opConnect, opSend, opDisableEndpoint, opEnableEndpoint:
+		return true
+	}
+	return false
+}
+
+// addToBacklog keeps a record for the next write.
+func (j *Journal) addToBacklog(rec record) {
+	b, err := appendRecord(j.backlog, rec)
+	if err != nil || len(b) > maxBacklogBytes {
+		j.backlog, j.needsRewrite = nil, true
+		return
+	}
+	j.backlog = b
+}
+
+// Saved reports whether the file has all that the entries have.
+func (j *Journal) Saved() bool { return len(j.backlog) == 0 && !j.needsRewrite }
+
+// Flush writes what the file lacks, and cuts off what a failed write has left behind the last record.
+func (j *Journal) Flush() error {
+	if j.Saved() {
+		return j.CutTail()
+	}
+	return j.write(nil)
+}
+
+// write writes the backlog and then recs.
 func (j *Journal) write(recs []record) error {
-	var b []byte
+	var added []byte
 	for _, rec := range recs {
 		var err error
-		if b, err = appendRecord(b, rec); err != nil {
+		if added, err = appendRecord(added, rec); err != nil {
 			return err
 		}
 	}
 	if err := j.CutTail(); err != nil {
 		return err
 	}
-	if j.needsRewrite || j.size+int64(len(b)) > j.limit {
+	if j.needsRewrite || j.size+int64(len(j.backlog)+len(added)) > j.limit {
 		if err := j.Compact(); err != nil {
 			return err
 		}
 	}
+	err := j.writeAtEnd(slices.Concat(j.backlog, added))
+	if err != nil && j.failing && j.Compact() == nil { // the file itself may be the cause: go on with a new one
+		err = j.writeAtEnd(added)
+	}
+	if j.failing = err != nil; j.failing {
+		return err
+	}
+	j.backlog = nil
+	return nil
+}
+
+// writeAtEnd writes records behind the last one.
+func (j *Journal) writeAtEnd(b []byte) error {
+	if len(b) == 0 {
+		return nil
+	}
 	if j.size+int64(len(b)) > j.limit {
 		return errJournalFull
 	}
@@ -324,27 +375,17 @@
 // Compact rewrites the journal with the entries that are left. The new file replaces the old one by a rename once it is
 // complete.
 func (j *Journal) Compact() error {
-	var b []byte
-	for _, id := range j.DisabledEndpoints() {
-		var err error
-		if b, err = appendRecord(b, record{Op: opDisableEndpoint, ID: id}); err != nil {
-			return err
-		}
-	}
-	for _, e := range j.Entries() {
-		var err error
-		if b, err = appendRecord(b, record{Op: opAccept, Entry: e}); err != nil {
-			return err
-		}
-	}
-	if int64(len(b)) > j.limit {
-		return errJournalFull
-	}
 	f, err := os.OpenFile(j.path(".new"), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
 		return err
 	}
-	_, err = f.WriteAt(b, 0)
+	b, err := j.encodeEntries()
+	if err == nil && int64(len(b)) > j.limit {
+		err = errJournalFull
+	}
+	if err == nil {
+		_, err = f.WriteAt(b, 0)
+	}
 	if err == nil {
 		err = os.Rename(j.path(".new"), j.path(""))
 	}
@@ -353,10 +394,26 @@
 		return errors.Join(err, os.Remove(j.path(".new")))
 	}
 	j.file.Close()
-	j.file, j.size, j.needsRewrite, j.tailDirty = f, int64(len(b)), false, false
+	j.file, j.size = f, int64(len(b))
+	j.backlog, j.needsRewrite, j.tailDirty = nil, false, false
 	return nil
 }
 
+// encodeEntries returns the records of a file that holds the entries and the disabled endpoints only.
+func (j *Journal) encodeEntries() (b []byte, err error) {
+	for _, id := range j.DisabledEndpoints() {
+		if b, err = appendRecord(b, record{Op: opDisableEndpoint, ID: id}); err != nil {
+			return nil, err
+		}
+	}
+	for _, e := range j.Entries() {
+		if b, err = appendRecord(b, record{Op: opAccept, Entry: e}); err != nil {
+			return nil, err
+		}
+	}
+	return b, nil
+}
+
 // Entries returns the entries in the order in which their messages were accepted.
 func (j *Journal) Entries() []*Entry {
 	list := make([]*Entry, 0, len(j.entries))
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -52,7 +52,7 @@
 	sweeps := 0
 	noClients := false // shutting down, and all clients are gone
 	for {
-		if noClients && n.openMessages == 0 && len(n.journal.entries) == 0 {
+		if noClients && n.openMessages == 0 && len(n.journal.entries) == 0 && n.journal.Saved() {
 			n.logFinalCounts()
 			return nil
 		}
@@ -85,6 +85,9 @@
 			continue
 		case <-stopped:
 			// Messages that have not ended stay in the journal as they are.
+			if err := n.journal.Flush(); err != nil {
+				n.log.Error("journal", "err", err, "unsaved_ends", len(n.unsaved.ends))
+			}
 			n.logFinalCounts()
 			return nil
 		}
@@ -148,6 +151,7 @@
 		}
 		if err := n.journal.Append(n.pendingRecords); err != nil {
 			n.log.Error("journal", "err", err)
+			n.scheduleJournalRetry()
 		}
 		n.pendingRecords = nil
 	case journalRetryEvent:
--- a/internal/node/replay.go
+++ b/internal/node/replay.go
@@ -32,7 +32,7 @@
 				notice.State = "failed"
 			}
 			n.pendingRecords = append(n.pendingRecords, record{Op: opEndWithNotice, ID: e.ID, Notice: &notice})
-			n.notices.add(notice)
+			n.notices.add(notice) // before its record is safe: each start does the same with this message
 			continue
 		}
 		n.held[e.ID] = &heldMessage{message: &e.Message, attempts: e.Attempts}
--- a/internal/node/unsaved.go
+++ b/internal/node/unsaved.go
@@ -1,6 +1,6 @@
 package node
 
-// What waits while the state folder fails: answers that the journal could still contradict after a kill.
+// What waits while the state folder fails: answers and notices that the journal would contradict after a kill.
 
 import "time"
 
@@ -14,6 +14,23 @@
 type unsaved struct {
 	retryScheduled bool
 	refusals       []chan<- string // clients whose refused messages may still be in the file
+	ends           []unsavedEnd
+}
+
+// unsavedEnd is the end of a message whose record is not in the file yet. The next start would send the message again.
+type unsavedEnd struct {
+	notice   Notice
+	deadline time.Time // of the message: no start sends it afterwards
+}
+
+// tellEnd sends the notice of a message's end, once its record is in the journal's file or its deadline has passed.
+func (n *Node) tellEnd(notice Notice, deadline time.Time) {
+	if n.journal.Saved() || !time.Now().Before(deadline) {
+		n.notices.add(notice)
+		return
+	}
+	n.unsaved.ends = append(n.unsaved.ends, unsavedEnd{notice, deadline})
+	n.scheduleJournalRetry()
 }
 
 // refuse answers a message that was not journaled with -BUSY. While a kill could bring the message back the answer waits:
@@ -40,11 +57,22 @@
 // for it.
 func (n *Node) repairJournal() {
 	n.unsaved.retryScheduled = false
-	if err := n.journal.CutTail(); err != nil {
+	if err := n.journal.Flush(); err != nil {
 		n.scheduleJournalRetry()
-		return
 	}
-	n.answerRefusals()
+	if !n.journal.TailDirty() {
+		n.answerRefusals()
+	}
+	n.tellSavedEnds()
+}
+
+// tellSavedEnds sends the notices that no longer have to wait.
+func (n *Node) tellSavedEnds() {
+	waiting := n.unsaved.ends
+	n.unsaved.ends = nil
+	for _, end := range waiting {
+		n.tellEnd(end.notice, end.deadline)
+	}
 }
 
 // answerRefusals answers the clients that wait for the refusal of their messages.
