Wait for a state folder that fails at a start, in place of ending

Cause: OpenJournal truncated at each start, also with nothing to cut, and gave up at the first error, as did the removal of an old rewrite and the creation of the lock file; New passed the error on. The handover socket was tried once only. A read error never shortens the file.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -62,6 +62,7 @@
 	minTextBytesPerName         = 600 // bytes of text for each name, at least; shows early that a text is too large
 	maxRowBytes                 = 1 << 20
 	handoverStallTimeout        = 2 * time.Second // a successor that reads nothing for this long has failed
+	handoverListenRetryDelay    = time.Second     // before the handover socket is opened again
 	handoverFailureDelay        = time.Second     // after a failed transfer, before the next: each one stalls the owner
 )
 
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -134,9 +134,7 @@
 // diskBytes.
 func OpenJournal(dir string, diskBytes int64) (*Journal, error) {
 	j := &Journal{dir: dir, entries: map[string]*Entry{}, disabled: map[string]bool{}, limit: journalFileLimit(diskBytes)}
-	if err := os.Remove(j.path(".new")); err != nil && !errors.Is(err, os.ErrNotExist) {
-		return nil, fmt.Errorf("journal: %w", err)
-	}
+	_ = os.Remove(j.path(".new")) // of a rewrite that was cut short; if it stays, the next rewrite replaces it
 	f, err := os.OpenFile(j.path(""), os.O_RDWR|os.O_CREATE, 0o600)
 	if err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
@@ -151,7 +149,8 @@
 
 func (j *Journal) path(suffix string) string { return filepath.Join(j.dir, journalFileName+suffix) }
 
-// replay applies the records up to the first one that is not whole and truncates the file behind them.
+// replay applies the records up to the first one that is not whole and cuts off the file behind them. If it cannot be
+// cut now, the tail stays dirty.
 func (j *Journal) replay(f *os.File) error {
 	r := wal.NewReader(f, maxRecordBytes)
 	for {
@@ -174,11 +173,8 @@
 		return err
 	}
 	j.truncatedBytes = info.Size() - j.size
-	if err := f.Truncate(j.size); err != nil {
-		return err
-	}
-	_, err = f.Seek(j.size, io.SeekStart)
-	return err
+	j.tailDirty = j.truncatedBytes > 0 && f.Truncate(j.size) != nil
+	return nil
 }
 
 // apply applies a record to the entries.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io/fs"
 	"log/slog"
 	"net"
 	"os"
@@ -61,6 +62,7 @@
 	maxDescriptors   int               // file descriptors that this process and its successor may hold together
 	lockFile         *os.File
 	restarted        bool // the state folder has been in use before: this is a restart
+	stateChecked     bool // restarted is set
 	listener         net.Listener
 	ready            chan net.Addr // gets the address once clients are served
 
@@ -79,7 +81,7 @@
 }
 
 // New makes a sender and replays its journal. If another process owns the state, New leaves the journal alone, and Run
-// takes over from that process.
+// takes over from that process. If the state folder fails, Run waits until it does not.
 func New(cfg *Config, log *slog.Logger) (*Node, error) {
 	if log == nil {
 		log = slog.New(slog.DiscardHandler)
@@ -102,7 +104,7 @@
 	n.notices = newNoticeQueue(cfg.DiscoveryAddr, log, n.events)
 	n.logSettings()
 	if err := n.acquireState(); err != nil && !errors.Is(err, errStateLocked) {
-		return nil, err
+		log.Error("the state folder fails, trying again", "err", err) // Run waits for it
 	}
 	return n, nil
 }
@@ -162,18 +164,26 @@
 }
 
 // acquireState makes this process the owner of the state and replays the journal. It returns errStateLocked if another
-// process is the owner.
+// process is the owner; after another error it may be called again.
 func (n *Node) acquireState() (err error) {
-	_, statErr := os.Stat(filepath.Join(n.cfg.StateDir, lockFileName))
-	if n.lockFile, err = lockState(n.cfg.StateDir); err != nil {
+	if !n.stateChecked {
+		_, err := os.Stat(filepath.Join(n.cfg.StateDir, lockFileName))
+		n.restarted = err == nil
+		n.stateChecked = err == nil || errors.Is(err, fs.ErrNotExist)
+	}
+	if n.lockFile == nil {
+		if n.lockFile, err = lockState(n.cfg.StateDir); err != nil {
+			return err
+		}
+	}
+	if n.journal, err = n.openJournal(); err != nil {
 		return err
 	}
-	n.journal, err = n.openJournal()
-	n.restarted = statErr == nil || err == nil && n.journal.size > 0
-	if err == nil && n.journal.truncatedBytes > 0 {
+	n.restarted = n.restarted || n.journal.size > 0
+	if n.journal.truncatedBytes > 0 {
 		n.log.Warn("journal was not whole", "cut", n.journal.truncatedBytes)
 	}
-	return err
+	return nil
 }
 
 // newDiscoveryClient returns the client that watches the endpoint list for this sender.
@@ -228,9 +238,7 @@
 		return err
 	}
 	ln := n.listener
-	if err := n.listenForSuccessors(work); err != nil {
-		n.log.Error("no handover to a new process will be possible", "err", err)
-	}
+	n.listenForSuccessors(work)
 	if !n.cfg.Deployment.Settings.ListOnRequest {
 		n.watchList(work) // the decision logic does not ask for a pushed list; over HTTP the sender has to request it
 	}
@@ -314,14 +322,20 @@
 	return lc.Listen(ctx, "tcp", addr)
 }
 
-// listenForSuccessors accepts requests of new processes to take over, until work is done.
-func (n *Node) listenForSuccessors(work context.Context) error {
+// listenForSuccessors accepts requests of new processes to take over, until work is done. While the handover socket
+// cannot be opened it tries again: no handover is possible until then.
+func (n *Node) listenForSuccessors(work context.Context) {
 	ln, err := listenHandover(n.cfg.StateDir)
-	if err != nil {
-		return err
+	if err == nil {
+		go n.acceptSuccessors(work, ln)
+		return
 	}
-	go n.acceptSuccessors(work, ln)
-	return nil
+	n.log.Error("no handover to a new process is possible, trying again", "err", err)
+	time.AfterFunc(handoverListenRetryDelay, func() {
+		if work.Err() == nil {
+			n.listenForSuccessors(work)
+		}
+	})
 }
 
 // finishAfterHandover ends what stays in this process after a handover: clients with partially read requests, and
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -41,27 +41,34 @@
 	}()
 }
 
-// takeOver makes this process the owner of the state: it waits for the lock, or for the owner to hand over. The result
-// is nil if it got the lock, and the journal is replayed then.
+// stateWarningInterval is the time between two log lines of a start that waits for its state folder.
+const stateWarningInterval = time.Second
+
+// takeOver makes this process the owner of the state: it waits for the lock, or for the owner to hand over, and for a
+// state folder that fails. The result is nil if it got the lock, and the journal is replayed then.
 func (n *Node) takeOver(ctx context.Context) (*takeover, error) {
 	tooLarge := false // the state does not fit in one text: wait for the owner to end, since each request stalls it
+	var warnedAt time.Time
 	for attempts := 0; ; attempts++ {
-		t, err := n.requestState(handoverRequestRows)
-		if errors.Is(err, errHandoverFormat) && !tooLarge {
-			t, err = n.requestState(handoverRequestText)
-			tooLarge = errors.Is(err, errStateTooLarge)
-		}
-		if err == nil {
-			return t, nil
-		}
-		if errors.Is(err, errTransferBroken) {
-			n.log.Warn("takeover", "err", err)
+		var err error
+		if n.lockFile == nil { // another process may be the owner
+			var t *takeover
+			if t, err = n.requestStateInAnyFormat(&tooLarge); err == nil {
+				return t, nil
+			}
+			if errors.Is(err, errTransferBroken) {
+				n.log.Warn("takeover", "err", err)
+			}
+			if attempts == 0 {
+				n.log.Info("waiting for the owner of the state", "why", err)
+			}
 		}
-		if attempts == 0 {
-			n.log.Info("waiting for the owner of the state", "why", err)
+		if err = n.acquireState(); err == nil {
+			return nil, nil
 		}
-		if err := n.acquireState(); !errors.Is(err, errStateLocked) {
-			return nil, err
+		if !errors.Is(err, errStateLocked) && time.Since(warnedAt) > stateWarningInterval {
+			n.log.Error("the state folder fails, trying again", "err", err)
+			warnedAt = time.Now()
 		}
 		select {
 		case <-ctx.Done():
@@ -71,6 +78,17 @@
 	}
 }
 
+// requestStateInAnyFormat asks the owner for the state, as one text if it does not know the row format and the state
+// has not proved tooLarge for that.
+func (n *Node) requestStateInAnyFormat(tooLarge *bool) (*takeover, error) {
+	t, err := n.requestState(handoverRequestRows)
+	if errors.Is(err, errHandoverFormat) && !*tooLarge {
+		t, err = n.requestState(handoverRequestText)
+		*tooLarge = errors.Is(err, errStateTooLarge)
+	}
+	return t, err
+}
+
 // requestState asks the owner for the whole state in a format. All of it is checked before it is acknowledged, so that
 // the owner resumes if anything is wrong.
 func (n *Node) requestState(format string) (_ *takeover, err error) {
