--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -284,6 +284,9 @@
 		Generation: n.listGeneration, Recent: map[string]int64{}}
 	if inRows {
 		state.Module, state.Names = n.sender.SaveWithoutTables(), n.nameCount()
+		if anchor, err := n.clock.Anchor(); err == nil {
+			state.Anchor = &anchor
+		}
 	} else {
 		state.Module, state.IDs, state.Targets = n.sender.Save(), map[string]logic.EndpointID{}, map[logic.EndpointID]transferTarget{}
 		for name, id := range n.directory.Names() {
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -11,6 +11,7 @@
 //     record is written with the next ones.
 //   - opEndWithNotice is in the file before the notice is sent, or the message's deadline has passed: no start sends it
 //     any more. opNoticeConfirmed follows the platform's confirmation, and the message leaves the journal.
+//   - opAnchor comes before the first record with a time. The next start continues the timeline from it.
 //   - opDisableEndpoint and opEnableEndpoint are in the file before the operator gets an answer.
 //
 // Records are written with plain writes and no fsync: they survive the death of the process, and not a crash of the
@@ -26,6 +27,7 @@
 	"path/filepath"
 	"slices"
 
+	"crossdeal/internal/clock"
 	"crossdeal/internal/wal"
 )
 
@@ -75,6 +77,7 @@
 	opDisableEndpoint               // an operator has disabled an endpoint; the record's id is the endpoint's name
 	opEnableEndpoint                // an operator has enabled an endpoint again
 	opConnect                       // an attempt is about to connect; opSend follows when it may be written
+	opAnchor                        // a point of the timeline that the times of the other records are on
 )
 
 // record is a record of the journal, stored as JSON in a frame of package wal.
@@ -86,6 +89,8 @@
 	Zone       int     `json:"zone,omitempty"`
 	MayHaveRun bool    `json:"may_run,omitempty"`
 	Notice     *Notice `json:"notice,omitempty"`
+
+	Anchor *clock.Anchor `json:"anchor,omitempty"`
 }
 
 const (
@@ -96,6 +101,7 @@
 	acceptShare = 0.6
 	// maxBacklogBytes bounds the records that wait to be written; with more, the file is rewritten instead.
 	maxBacklogBytes = 64 << 10
+	maxAnchorBytes  = 256 // of the record of an anchor
 	// maxJournalFileBytes bounds a file where the platform sets no tighter limit; files may count as memory.
 	maxJournalFileBytes = 16 << 20
 )
@@ -115,10 +121,12 @@
 	lastSequence   int
 	entries        map[string]*Entry
 	disabled       map[string]bool // endpoints that an operator has disabled
-	backlog        []byte          // records that are applied to entries and could not be written yet
-	needsRewrite   bool            // entries has further changes that the file lacks: rewrite before the next append
-	failing        bool            // the last write has failed
-	tailDirty      bool            // bytes of a failed write may follow size: cut them off before the next append
+	anchor         *clock.Anchor   // of the timeline; nil if none is known
+	anchorInFile   bool
+	backlog        []byte // records that are applied to entries and could not be written yet
+	needsRewrite   bool   // entries has further changes that the file lacks: rewrite before the next append
+	failing        bool   // the last write has failed
+	tailDirty      bool   // bytes of a failed write may follow size: cut them off before the next append
 }
 
 // journalFileLimit returns the limit of the journal's file for a disk limit; diskBytes is 0 where there is none. Two
@@ -180,6 +188,9 @@
 // apply applies a record to the entries.
 func (j *Journal) apply(rec record) {
 	switch rec.Op {
+	case opAnchor:
+		j.anchor, j.anchorInFile = rec.Anchor, true
+		return
 	case opDisableEndpoint:
 		j.disabled[rec.ID] = true
 		return
@@ -228,6 +239,13 @@
 	}
 }
 
+// Anchor returns the point of the timeline that the times of the entries are on; nil for journals of earlier versions,
+// whose times are those of the wall clock.
+func (j *Journal) Anchor() *clock.Anchor { return j.anchor }
+
+// SetAnchor sets the point of the timeline. It is written with the next records.
+func (j *Journal) SetAnchor(a clock.Anchor) { j.anchor, j.anchorInFile = &a, false }
+
 // HasRoom reports whether the journal has room for a message with a body of that many bytes.
 func (j *Journal) HasRoom(bodyBytes int) bool {
 	return float64(j.liveBytes)+float64(bodyBytes)*4/3+512 <= acceptShare*float64(j.limit)
@@ -299,7 +317,7 @@
 	if err := j.CutTail(); err != nil {
 		return err
 	}
-	if j.needsRewrite || j.size+int64(len(j.backlog)+len(added)) > j.limit {
+	if j.needsRewrite || j.size+int64(len(j.backlog)+len(added)+maxAnchorBytes) > j.limit {
 		if err := j.Compact(); err != nil {
 			return err
 		}
@@ -315,11 +333,18 @@
 	return nil
 }
 
-// writeAtEnd writes records behind the last one.
+// writeAtEnd writes records behind the last one, after the anchor if the file has none.
 func (j *Journal) writeAtEnd(b []byte) error {
 	if len(b) == 0 {
 		return nil
 	}
+	if j.anchor != nil && !j.anchorInFile {
+		anchor, err := appendRecord(nil, record{Op: opAnchor, Anchor: j.anchor})
+		if err != nil {
+			return err
+		}
+		b = append(anchor, b...)
+	}
 	if j.size+int64(len(b)) > j.limit {
 		return errJournalFull
 	}
@@ -330,6 +355,7 @@
 		return errors.Join(err, j.CutTail())
 	}
 	j.size += int64(len(b))
+	j.anchorInFile = true
 	return nil
 }
 
@@ -392,11 +418,18 @@
 	j.file.Close()
 	j.file, j.size = f, int64(len(b))
 	j.backlog, j.needsRewrite, j.tailDirty = nil, false, false
+	j.anchorInFile = len(b) > 0
 	return nil
 }
 
-// encodeEntries returns the records of a file that holds the entries and the disabled endpoints only.
+// encodeEntries returns the records of a file that holds the entries and the disabled endpoints only. A file with
+// entries begins with the anchor of their times.
 func (j *Journal) encodeEntries() (b []byte, err error) {
+	if j.anchor != nil && len(j.entries) > 0 {
+		if b, err = appendRecord(b, record{Op: opAnchor, Anchor: j.anchor}); err != nil {
+			return nil, err
+		}
+	}
 	for _, id := range j.DisabledEndpoints() {
 		if b, err = appendRecord(b, record{Op: opDisableEndpoint, ID: id}); err != nil {
 			return nil, err
--- a/internal/node/replay.go
+++ b/internal/node/replay.go
@@ -6,11 +6,36 @@
 	"crossdeal/logic"
 )
 
+// continueTimeline continues the timeline of the process that wrote the journal, so that a step of the wall clock since
+// then changes no message's time. If it cannot, the timeline is the wall clock's and gets a new anchor.
+func (n *Node) continueTimeline() {
+	if anchor := n.journal.Anchor(); anchor != nil {
+		wall := n.clock.NowMicros()
+		if n.clock.ContinueFromAnchor(*anchor) {
+			n.log.Debug("timeline continued", "ahead_of_wall_clock_us", n.clock.NowMicros()-wall)
+			return
+		}
+		n.log.Warn("the timeline begins at the wall clock: the machine was started again")
+	}
+	n.anchorTimeline()
+}
+
+// anchorTimeline makes the journal hold the point at which the timeline is now.
+func (n *Node) anchorTimeline() {
+	anchor, err := n.clock.Anchor()
+	if err != nil {
+		n.log.Warn("a step of the wall clock before the next start will change messages' times", "err", err)
+		return
+	}
+	n.journal.SetAnchor(anchor)
+}
+
 // resumeFromJournal passes the messages of the journal to the decision logic with the outcomes of their attempts so
 // far, and loads the initial endpoint list. At a restart, even with an empty journal, the configured list lacks the
 // changes since it was written, so the list counts as stale. Where an agent pushes the list, it counts as stale
 // at every start.
 func (n *Node) resumeFromJournal() {
+	n.continueTimeline()
 	generation, listed := n.loadInitialList()
 	if listed {
 		n.nextEvents = append(n.nextEvents, logic.ListUpdate{Form: logic.ListSaved, Entries: n.directory.Entries(), Stale: n.restarted || n.cfg.Deployment.Settings.ListPushed})
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -217,7 +217,10 @@
 
 // adopt resumes the messages, calls and connections that another process has handed over.
 func (n *Node) adopt(work context.Context, t *takeover) {
-	n.clock.ContinueFrom(t.At)
+	if t.Anchor == nil || !n.clock.ContinueFromAnchor(*t.Anchor) {
+		n.clock.ContinueFrom(t.At) // an earlier version hands over no anchor
+	}
+	n.anchorTimeline()
 	n.clockOrigin = n.clock.Time(t.At).Add(-toDuration(t.Clock))
 	for _, x := range t.names {
 		n.directory.Adopt(x.name, x.id, x.target)
--- a/internal/node/transfer.go
+++ b/internal/node/transfer.go
@@ -12,6 +12,7 @@
 	"math"
 	"slices"
 
+	"crossdeal/internal/clock"
 	"crossdeal/internal/discovery"
 	"crossdeal/logic"
 )
@@ -20,10 +21,11 @@
 // listener, and then one for each of Calls, Idle and Clients, in this order. The names of the fields are part of the
 // format.
 type stateTransfer struct {
-	At         int64        // Unix time in microseconds when it was made ...
-	Clock      logic.Micros // ... and the clock of the decision logic at that time
-	Module     logic.Saved  // state of the decision logic; without its tables in the row format
-	Discovery  string       // base URL of the discovery that Generation belongs to
+	At         int64         // Unix time in microseconds when it was made ...
+	Clock      logic.Micros  // ... and the clock of the decision logic at that time
+	Anchor     *clock.Anchor `json:",omitempty"` // the same point, by the machine's clock; in the row format
+	Module     logic.Saved   // state of the decision logic; without its tables in the row format
+	Discovery  string        // base URL of the discovery that Generation belongs to
 	Generation int64
 	IDs        map[string]logic.EndpointID         `json:",omitempty"` // in the text format
 	Targets    map[logic.EndpointID]transferTarget `json:",omitempty"`
