--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -122,6 +122,7 @@
 	if counts := n.transport.takeCounts(); len(counts) > 0 {
 		counts = append(counts, "idle", n.transport.idleCount(), "open", n.openMessages, "owed", len(n.journal.entries))
 		counts = append(counts, n.clients.takeCounts()...)
+		counts = append(counts, n.notices.takeCounts()...)
 		n.log.Info("calls", append(counts, n.guard.countAttrs()...)...)
 	}
 }
--- a/internal/syscallfault/launch.go
+++ b/internal/syscallfault/launch.go
@@ -113,6 +113,9 @@
 	}
 	data, control := make([]byte, 1), make([]byte, unix.CmsgSpace(4))
 	n, controlLen, _, _, err := unix.Recvmsg(socket, data, control, unix.MSG_CMSG_CLOEXEC)
+	for errors.Is(err, unix.EINTR) {
+		n, controlLen, _, _, err = unix.Recvmsg(socket, data, control, unix.MSG_CMSG_CLOEXEC)
+	}
 	if err != nil {
 		return 0, err
 	}
