Let posts without an answer hold back no notices

Cause: four posts in flight were the most, and a silent one kept its place for its second; under a hundred ends a second the places were soon taken by silent ones. Change: a post counts against the four only for its first 50 ms; of at most twelve, the one longest without an answer is cancelled. The delays begin to double after a notice's third post. TestUnansweredNoticeIsSentAgain waits for the growth after the fourth post.

--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -24,10 +24,12 @@
 
 const (
 	maxNoticesPerPost = 256
-	maxNoticePosts    = 4                      // at the same time
+	maxNewPosts       = 4                      // at the same time, each for less than noticeFirstRepeat
+	maxPosts          = 12                     // at the same time, with those that got no answer so far
 	noticePostTimeout = time.Second            // for the answer to a post, which normally comes at once
-	noticeFirstRepeat = 50 * time.Millisecond  // without an answer; doubles with each post of the notice
-	noticeFirstRetry  = 10 * time.Millisecond  // after a post that failed; doubles likewise
+	noticeFirstRepeat = 50 * time.Millisecond  // from a post without an answer to the next post of its notices
+	noticeFirstRetry  = 10 * time.Millisecond  // from a post that failed to the next
+	noticeEqualDelays = 3                      // posts of a notice after which these delays begin to double
 	noticeMaxRepeat   = 400 * time.Millisecond // longest delay of both kinds
 	noticeIdleTimeout = 30 * time.Second       // of the kept connection
 	noticeNoDue       = time.Hour              // how long the queue sleeps if no notice is due
@@ -43,10 +45,10 @@
 	postAt time.Time // when the next one is due
 }
 
-// repeatDelay returns how long to wait before the next post: first, doubled with each post after the first.
+// repeatDelay returns how long to wait before the next post: first, doubled with each post after the third.
 func (q *queuedNotice) repeatDelay(first time.Duration) time.Duration {
 	delay := first
-	for range q.posts - 1 {
+	for range q.posts - noticeEqualDelays {
 		if delay *= 2; delay >= noticeMaxRepeat {
 			return noticeMaxRepeat
 		}
@@ -67,7 +69,7 @@
 	mu       sync.Mutex
 	url      string
 	queue    []*queuedNotice // in the order in which they were added
-	inFlight int             // posts
+	inFlight []*noticePost   // in the order in which they were begun
 	counts   noticeCounts
 }
 
@@ -114,11 +116,12 @@
 	timer := time.NewTimer(noticeNoDue)
 	defer timer.Stop()
 	for {
-		if post, ok := n.nextPost(time.Now()); ok {
+		post, wait := n.nextPost(ctx, time.Now())
+		if post != nil {
 			go n.send(ctx, post)
 			continue
 		}
-		timer.Reset(n.untilNextPost(time.Now()))
+		timer.Reset(wait)
 		select {
 		case <-ctx.Done():
 			return
@@ -133,19 +136,26 @@
 	client  *http.Client
 	url     string
 	notices []Notice
+	begunAt time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
 }
 
-// nextPost returns the post of the oldest notices that are due, unless maxNoticePosts are in flight. They stay queued
+// nextPost returns the post of the oldest notices that are due, or how long to wait for one. The notices stay queued
 // until they are confirmed. Notices that were posted before go over a new connection.
-func (n *noticeQueue) nextPost(now time.Time) (post noticePost, ok bool) {
+func (n *noticeQueue) nextPost(ctx context.Context, now time.Time) (*noticePost, time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.inFlight >= maxNoticePosts {
-		return post, false
+	if i := len(n.inFlight) - maxNewPosts; i >= 0 {
+		if wait := n.inFlight[i].begunAt.Add(noticeFirstRepeat).Sub(now); wait > 0 {
+			return nil, wait
+		}
 	}
-	post.client, post.url = n.kept, n.url
+	post := &noticePost{client: n.kept, url: n.url, begunAt: now}
+	wait := noticeNoDue
 	for _, q := range n.queue {
-		if q.postAt.After(now) {
+		if left := q.postAt.Sub(now); left > 0 {
+			wait = min(wait, left)
 			continue
 		}
 		if q.posts > 0 {
@@ -159,30 +169,21 @@
 		}
 	}
 	if len(post.notices) == 0 {
-		return post, false
+		return nil, wait
 	}
-	n.inFlight++
-	n.counts.posts++
-	return post, true
-}
-
-// untilNextPost returns the time until a notice is due. While no further post may be made, one that ends wakes the queue.
-func (n *noticeQueue) untilNextPost(now time.Time) time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	wait := noticeNoDue
-	if n.inFlight >= maxNoticePosts {
-		return wait
+	if len(n.inFlight) >= maxPosts {
+		n.inFlight[0].cancel() // without an answer for longest; its notices have been posted again since
 	}
-	for _, q := range n.queue {
-		wait = min(wait, q.postAt.Sub(now))
-	}
-	return wait
+	post.ctx, post.cancel = context.WithTimeout(ctx, noticePostTimeout)
+	n.inFlight = append(n.inFlight, post)
+	n.counts.posts++
+	return post, 0
 }
 
 // send makes a post and reports the notices that it confirms.
-func (n *noticeQueue) send(ctx context.Context, post noticePost) {
-	err := post.do(ctx)
+func (n *noticeQueue) send(ctx context.Context, post *noticePost) {
+	defer post.cancel()
+	err := post.do()
 	if err == nil {
 		if ids := n.remove(post.notices); len(ids) > 0 {
 			select {
@@ -195,7 +196,7 @@
 		n.retrySoon(post.notices, time.Now())
 	}
 	n.mu.Lock()
-	n.inFlight--
+	n.inFlight = slices.DeleteFunc(n.inFlight, func(other *noticePost) bool { return other == post })
 	n.mu.Unlock()
 	n.wakeUp()
 }
@@ -258,9 +259,7 @@
 }
 
 // do makes the post and returns nil if the platform has confirmed it.
-func (p *noticePost) do(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, noticePostTimeout)
-	defer cancel()
+func (p *noticePost) do() error {
 	var body bytes.Buffer
 	enc := json.NewEncoder(&body) // one object per line
 	for _, notice := range p.notices {
@@ -268,7 +267,7 @@
 			return fmt.Errorf("notice for %s: %w", notice.ID, err)
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url, &body)
+	req, err := http.NewRequestWithContext(p.ctx, http.MethodPost, p.url, &body)
 	if err != nil {
 		return fmt.Errorf("request to %s: %w", p.url, err)
 	}
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -11,7 +11,7 @@
 )
 
 // A connection to the platform may become unresponsive with a notice on it. A notice is due within 0.3 s of the
-// message's deadline, so it is sent again on another connection well before that. The delay grows with each post.
+// message's deadline, so it is sent again on another connection well before that. The delay grows after some posts.
 func TestUnansweredNoticeIsSentAgain(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -46,16 +46,18 @@
 	n := newNoticeQueue(ln.Addr().String(), slog.New(slog.DiscardHandler), events)
 	go n.run(t.Context())
 	n.add(Notice{ID: "a", State: "failed"})
-	first := await(t, received, "notice")
-	answer <- false
-	second := await(t, received, "second notice")
-	if gap := second.Sub(first); gap > endLimit {
-		t.Errorf("sent again after %v, which is too late", gap)
-	}
-	answer <- false
-	third := await(t, received, "third notice")
-	if gap := third.Sub(second); gap < 3*noticeFirstRepeat/2 { // without growth it would be noticeFirstRepeat
-		t.Errorf("the delay does not grow for a slow platform: %v", gap)
+	last := await(t, received, "notice")
+	for i := range noticeEqualDelays + 1 {
+		answer <- false
+		next := await(t, received, "notice again")
+		gap := next.Sub(last)
+		if i == 0 && gap > endLimit {
+			t.Errorf("sent again after %v, which is too late", gap)
+		}
+		if i == noticeEqualDelays && gap < 3*noticeFirstRepeat/2 { // without growth it would be noticeFirstRepeat
+			t.Errorf("the delay does not grow for a slow platform: %v", gap)
+		}
+		last = next
 	}
 	answer <- true
 	if ev := await(t, events, "confirmation").(noticesConfirmedEvent); len(ev.ids) != 1 || ev.ids[0] != "a" {
