--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -11,9 +11,11 @@
 	"time"
 
 	"crossdeal/internal/soak"
+	"crossdeal/internal/syscallfault"
 )
 
 func main() {
+	syscallfault.LaunchIfRequested()
 	program := flag.String("program", "bin/cometrack", "path of the sender's binary")
 	seed := flag.Uint64("seed", 1, "the first seed")
 	count := flag.Int("seeds", 1, "number of seeds, run one after the other")
@@ -21,6 +23,7 @@
 	named := flag.Int("named", 0, "number of senders in the settings; 0 for the number of real ones")
 	span := flag.Duration("span", 15*time.Second, "time within which faults begin")
 	onRequest := flag.Bool("on-request", false, "senders get the list only on request")
+	systemCalls := flag.Bool("system-calls", true, "let system calls of the senders fail; needs a C compiler")
 	dir := flag.String("dir", "logs/soak", "directory for state and logs")
 	verbose := flag.Bool("v", false, "print each fault")
 	flag.Parse()
@@ -31,7 +34,7 @@
 			log = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
 		}
 		report, err := soak.Run(context.Background(), soak.Config{Seed: number, Program: *program, Senders: min(max(*senders, 1), 40),
-			ConfiguredSenders: *named, FaultPeriod: *span, Pushed: !*onRequest, Dir: filepath.Join(*dir, fmt.Sprint(number)), Log: log})
+			ConfiguredSenders: *named, FaultPeriod: *span, SystemCallFaults: *systemCalls, Pushed: !*onRequest, Dir: filepath.Join(*dir, fmt.Sprint(number)), Log: log})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			os.Exit(1)
--- a/internal/scale/standin/discovery.go
+++ b/internal/scale/standin/discovery.go
@@ -69,8 +69,19 @@
 	Machines    int                    // machines that serve the list; the senders are assigned to them in turn; 0 means 1
 	Bandwidth   float64                // of each machine, in bytes a second; 0 means no limit
 	OnNotice    func(id, state string) // called for each ended message that a notice names; may be nil
+	NoticeFault func() NoticeFault     // called for each post of notices; nil for none
 }
 
+// NoticeFault is how a post of notices fails. The notices of a post that fails count as not received.
+type NoticeFault int
+
+// The faults of a post.
+const (
+	NoticeReceived   NoticeFault = iota // no fault
+	NoticeReset                         // the connection is reset before the post is read
+	NoticeUnanswered                    // the post is read and gets no answer
+)
+
 // Discovery is a stand-in of discovery and of the platform that receives notices.
 type Discovery struct {
 	cfg   Config
@@ -420,6 +431,14 @@
 
 // handleOutcomes receives notices, also while a fault of discovery is active.
 func (d *Discovery) handleOutcomes(sc *senderConn, req *http.Request) error {
+	if d.cfg.NoticeFault != nil {
+		switch d.cfg.NoticeFault() {
+		case NoticeReset:
+			return errNoticeReset
+		case NoticeUnanswered:
+			return errUnresponsive
+		}
+	}
 	body, err := io.ReadAll(io.LimitReader(req.Body, 1<<20))
 	if err != nil {
 		return err
@@ -435,6 +454,8 @@
 	return err
 }
 
+var errNoticeReset = errors.New("post of notices reset")
+
 // reportNotices calls OnNotice for each notice of the body, which holds one JSON object a line.
 func (d *Discovery) reportNotices(body []byte) error {
 	if d.cfg.OnNotice == nil {
--- a/internal/soak/agent.go
+++ b/internal/soak/agent.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
@@ -35,6 +36,8 @@
 	addressChanges []time.Time // when discovery moved to another address
 	faults         []discoveryFault
 	unreachable    bool
+	noticeRNG      *rand.Rand
+	noticeFaults   bool          // some posts of notices fail
 	pendingRows    []standin.Row // changes that it learns once discovery is reachable
 }
 
@@ -45,8 +48,14 @@
 	endedAt   time.Time // zero while the fault lasts
 }
 
-func startAgent(rows []standin.Row) (*agent, error) {
-	a := &agent{rows: append([]standin.Row(nil), rows...)}
+// Share of the posts of notices that fail while noticeFaults is set.
+const (
+	noticeResetShare      = 0.1
+	noticeUnansweredShare = 0.05
+)
+
+func startAgent(rows []standin.Row, rng *rand.Rand) (*agent, error) {
+	a := &agent{rows: append([]standin.Row(nil), rows...), noticeRNG: rng}
 	return a, a.open(1)
 }
 
@@ -57,7 +66,8 @@
 		return err
 	}
 	a.listener = listener
-	a.discovery = standin.New(standin.Config{Rows: append([]standin.Row(nil), a.rows...), Generation: generation, OnNotice: a.recordNotice})
+	a.discovery = standin.New(standin.Config{Rows: append([]standin.Row(nil), a.rows...), Generation: generation, OnNotice: a.recordNotice,
+		NoticeFault: a.drawNoticeFault})
 	go a.discovery.Serve(listener, "sender")
 	return nil
 }
@@ -74,6 +84,29 @@
 	a.notices = append(a.notices, Notice{id, state, time.Now()})
 }
 
+// setNoticeFaults begins or ends faults of posts of notices.
+func (a *agent) setNoticeFaults(on bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.noticeFaults = on
+}
+
+// drawNoticeFault returns what becomes of a post of notices.
+func (a *agent) drawNoticeFault() standin.NoticeFault {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.noticeFaults {
+		return standin.NoticeReceived
+	}
+	switch draw := a.noticeRNG.Float64(); {
+	case draw < noticeResetShare:
+		return standin.NoticeReset
+	case draw < noticeResetShare+noticeUnansweredShare:
+		return standin.NoticeUnanswered
+	}
+	return standin.NoticeReceived
+}
+
 // update passes a change to the agent, at once or when discovery is reachable again.
 func (a *agent) update(row standin.Row) {
 	a.mu.Lock()
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -23,7 +23,6 @@
 	ClientTimeouts int // requests whose client got no answer in time
 	TimedOutSent   int // of those, messages that were sent to an endpoint all the same
 	CrossedClose   int // requests without an answer that crossed their sender's close of the connection, unread
-	LateEnds       int // messages that ended later than due, but not so late that they count as lost
 	// UninformedCalls counts calls to endpoints that drained while no process ran, with the agent unresponsive from before
 	// the next start until after the call.
 	UninformedCalls int
@@ -32,8 +31,8 @@
 
 func (r *Report) String() string {
 	return fmt.Sprintf("seed %d: %d requests, %d accepted, %d delivered, %d calls, %d client timeouts (%d of their messages sent), "+
-		"%d requests crossed a close, %d late ends, %d calls before the sender could learn of a drain, %d violations", r.Seed, r.Requests, r.Accepted,
-		r.Delivered, r.Calls, r.ClientTimeouts, r.TimedOutSent, r.CrossedClose, r.LateEnds, r.UninformedCalls, len(r.Violations))
+		"%d requests crossed a close, %d calls before the sender could learn of a drain, %d violations", r.Seed, r.Requests, r.Accepted,
+		r.Delivered, r.Calls, r.ClientTimeouts, r.TimedOutSent, r.CrossedClose, r.UninformedCalls, len(r.Violations))
 }
 
 func (r *Report) addViolation(rule, format string, args ...any) {
@@ -46,7 +45,6 @@
 	machineSlack        = 150 * time.Millisecond  // for scheduling on this machine
 	endSlack            = 300 * time.Millisecond  // for the end of a message after its deadline
 	restartSlack        = 1500 * time.Millisecond // for the end of a message after the next process is ready
-	lostAfter           = 500 * time.Millisecond  // a message that ends later than this after it was due counts as lost
 	watchReconnectSlack = 400 * time.Millisecond  // for the answers of an agent that responds again to arrive
 	retryAfterSlack     = 100 * time.Millisecond  // for calls that cross the answer with the retry-after
 	watchUpdateLimit    = 6 * time.Second         // after a watch became unresponsive, or discovery had a change and was reachable
@@ -386,10 +384,8 @@
 	switch late := endedAt.Sub(due); {
 	case endedAt.IsZero():
 		report.addViolation("lost", "%s (%s, n%d, due %s) has not ended after %d calls", m.ID, m.Class, m.Sender, due.Format(clockFormat), len(m.calls))
-	case late > lostAfter+machineSlack:
-		report.addViolation("lost", "%s ended %v after it was due", m.ID, late)
 	case late > limitSlack+machineSlack:
-		report.LateEnds++
+		report.addViolation("lost", "%s ended %v after it was due", m.ID, late)
 	}
 }
 
--- a/internal/soak/harness.go
+++ b/internal/soak/harness.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"os"
 	"path/filepath"
 	"sync"
 	"time"
@@ -21,6 +22,7 @@
 	Senders           int           // senders that run as real processes
 	ConfiguredSenders int           // number of senders in the settings; 0 for the number of real ones
 	FaultPeriod       time.Duration // faults begin within this time from the start
+	SystemCallFaults  bool          // senders run under a system call filter that lets calls fail; needs LaunchIfRequested
 	Pushed            bool          // membership mode: an agent pushes the list; otherwise the sender requests it
 	Log               func(format string, args ...any)
 }
@@ -110,7 +112,7 @@
 		}
 	}
 	for i := range h.cfg.Senders {
-		a, err := startAgent(rows)
+		a, err := startAgent(rows, rand.New(rand.NewPCG(h.cfg.Seed, uint64(500+i))))
 		if err != nil {
 			return err
 		}
@@ -121,6 +123,12 @@
 		name := fmt.Sprintf("n%d", i)
 		seed := h.rng.Uint64()
 		sender := &managedSender{name: name, program: h.cfg.Program, dir: filepath.Join(h.cfg.Dir, name), listenAddress: listen, agent: a}
+		if err := os.RemoveAll(sender.dir); err != nil { // an earlier run would be resumed, with the same message ids
+			return err
+		}
+		if h.cfg.SystemCallFaults {
+			sender.systemCalls = newSystemCalls(sender.stateDir(), h.cfg.Seed, i)
+		}
 		sender.makeConfig = func(discovery string) []byte { return h.configJSON(name, listen, discovery, seed, rows) }
 		h.senders = append(h.senders, sender)
 	}
@@ -217,6 +225,8 @@
 	}
 	for _, sender := range h.senders {
 		sender.agent.endFaults()
+		sender.agent.setNoticeFaults(false)
+		sender.systemCalls.endFaults()
 	}
 	time.Sleep(maxMessageTime + endSlack)
 	var stopped sync.WaitGroup
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -37,6 +37,9 @@
 		rng := rand.New(rand.NewPCG(h.cfg.Seed, uint64(100+i)))
 		p.planDiscoveryFaults(h, sender, rng)
 		p.planProcessFaults(h, sender, rng)
+		if sender.systemCalls != nil {
+			p.planSystemCallFaults(h, sender, rand.New(rand.NewPCG(h.cfg.Seed, uint64(300+i))))
+		}
 		p.planBadClients(h, sender, rng)
 		p.planIdleBursts(h, sender, rng)
 	}
@@ -141,6 +144,9 @@
 func (p *Plan) planProcessFaults(h *Harness, sender *managedSender, rng *rand.Rand) {
 	kinds := []processFault{killed, terminated, terminated, terminatedTwice, terminatedAtStart, hangupAroundTerm, killedAfterAnswer,
 		killedTwice, suspended, upgraded, upgraded, moved, movedTwice}
+	if sender.systemCalls != nil {
+		kinds = append(kinds, killedInFolderFault, killedInFolderFault, terminatedInFolderFault, clockSteppedInRestart, clockSteppedInUpgrade, folderFault)
+	}
 	for at := 1500*time.Millisecond + time.Duration(rng.Int64N(int64(6*time.Second))); at < h.cfg.FaultPeriod; {
 		fault := kinds[rng.IntN(len(kinds))]
 		seed := rng.Uint64()
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -32,6 +32,7 @@
 	listenAddress string
 	agent         *agent
 	makeConfig    func(discovery string) []byte
+	systemCalls   *systemCalls // nil if its processes run without a filter
 
 	faultMu sync.Mutex // serializes the faults of the process
 
@@ -93,7 +94,7 @@
 		return nil, err
 	}
 	run, ready, done := &processRun{StartedAt: time.Now()}, make(chan struct{}), make(chan struct{})
-	if err := cmd.Start(); err != nil {
+	if err := s.systemCalls.start(cmd, s.dir); err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,10 +3,13 @@
 import (
 	"flag"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"testing"
 	"time"
+
+	"crossdeal/internal/syscallfault"
 )
 
 var (
@@ -16,24 +19,33 @@
 	faultPeriod = flag.Duration("soak.span", 8*time.Second, "time within which faults begin")
 )
 
+func TestMain(m *testing.M) {
+	syscallfault.LaunchIfRequested()
+	os.Exit(m.Run())
+}
+
 // TestSoak checks that real senders break no rule of the protocol under random, overlapping faults: with a pushed list
 // and with one on request, and with few senders in the settings and with many.
 func TestSoak(t *testing.T) {
 	program := filepath.Join(t.TempDir(), "cometrack")
-	if out, err := exec.Command("go", "build", "-o", program, "../../cmd/cometrack").CombinedOutput(); err != nil {
+	build := exec.Command("go", "build", "-ldflags=-linkmode=external", "-o", program, "../../cmd/cometrack")
+	build.Env = append(os.Environ(), "CGO_ENABLED=1")
+	if out, err := build.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
 	for _, tt := range []struct {
 		name              string
 		pushed            bool
 		configuredSenders int
-	}{{"pushed, few", true, 0}, {"pushed, many", true, 40}, {"on request, many", false, 40}} {
+		systemCallFaults  bool
+	}{{"pushed, few", true, 0, true}, {"pushed, many", true, 40, false}, {"on request, many", false, 40, true}} {
 		for i := range *seedCount {
 			seed := *firstSeed + uint64(i)
 			t.Run(fmt.Sprintf("%s/%d", tt.name, seed), func(t *testing.T) {
 				t.Parallel()
 				report, err := Run(t.Context(), Config{Seed: seed, Program: program, Dir: t.TempDir(), Senders: *senderCount,
-					ConfiguredSenders: tt.configuredSenders, Pushed: tt.pushed, FaultPeriod: *faultPeriod, Log: t.Logf})
+					ConfiguredSenders: tt.configuredSenders, Pushed: tt.pushed, SystemCallFaults: tt.systemCallFaults,
+					FaultPeriod: *faultPeriod, Log: t.Logf})
 				if err != nil {
 					t.Fatal(err)
 				}
--- /dev/null
+++ b/internal/soak/system_calls.go
@@ -0,0 +1,187 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"os/exec"
+	"sync"
+	"syscall"
+	"time"
+
+	"crossdeal/internal/syscallfault"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	socketFaultShare = 0.3                    // of the calls that fail during a fault of sockets
+	heldUpShare      = 0.02                   // of the writes that come late during a fault of late writes
+	maxHoldUp        = 150 * time.Millisecond // of one call
+	maxFolderFault   = 2700 * time.Millisecond
+	minFolderFault   = 200 * time.Millisecond
+)
+
+// Errors of system calls that pass again.
+var (
+	acceptErrors  = []syscall.Errno{unix.ECONNABORTED, unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM, unix.EINTR}
+	socketErrors  = []syscall.Errno{unix.ENFILE, unix.EMFILE, unix.ENOBUFS, unix.ENOMEM}
+	connectErrors = []syscall.Errno{unix.EADDRNOTAVAIL, unix.ENETUNREACH, unix.ETIMEDOUT, unix.EHOSTUNREACH, unix.ENOBUFS}
+	folderErrors  = []syscall.Errno{unix.ENOSPC, unix.EIO, unix.EDQUOT}
+	clockSteps    = []time.Duration{-time.Hour, -8 * time.Second, -2 * time.Second, 2 * time.Second, 8 * time.Second, time.Hour}
+)
+
+// systemCalls decides on the system calls of a sender's processes. It is safe for concurrent use. The methods of a nil
+// pointer do nothing: the processes run without a filter.
+type systemCalls struct {
+	folder *syscallfault.Folder
+
+	mu           sync.Mutex
+	rng          *rand.Rand
+	socketFaults bool
+	lateWrites   bool
+	clockOffset  time.Duration // of the wall clock
+}
+
+func newSystemCalls(stateDir string, seed uint64, senderIndex int) *systemCalls {
+	return &systemCalls{folder: syscallfault.NewFolder(stateDir), rng: rand.New(rand.NewPCG(seed, uint64(700+senderIndex)))}
+}
+
+// start starts a command under the filter. What it needs for that is built in dir.
+func (s *systemCalls) start(cmd *exec.Cmd, dir string) error {
+	if s == nil {
+		return cmd.Start()
+	}
+	if err := syscallfault.UseSystemCallClock(cmd, dir); err != nil {
+		return err
+	}
+	calls := append(syscallfault.FolderCalls(), unix.SYS_CLOCK_GETTIME, unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT)
+	_, err := syscallfault.Start(cmd, calls, s.decide)
+	return err
+}
+
+// decide is the handler of the processes' calls.
+func (s *systemCalls) decide(call syscallfault.Call) syscallfault.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch call.Number {
+	case unix.SYS_CLOCK_GETTIME:
+		return call.AnswerClock(s.clockOffset)
+	case unix.SYS_ACCEPT4:
+		return s.socketDecision(acceptErrors)
+	case unix.SYS_SOCKET:
+		return s.socketDecision(socketErrors)
+	case unix.SYS_CONNECT:
+		return s.socketDecision(connectErrors)
+	}
+	decision := s.folder.Decide(call)
+	if s.lateWrites && s.rng.Float64() < heldUpShare {
+		decision.Delay = time.Duration(s.rng.Int64N(int64(maxHoldUp)))
+	}
+	return decision
+}
+
+// socketDecision fails some calls during a fault of sockets. The caller holds s.mu.
+func (s *systemCalls) socketDecision(errors []syscall.Errno) syscallfault.Decision {
+	if !s.socketFaults || s.rng.Float64() >= socketFaultShare {
+		return syscallfault.Decision{}
+	}
+	return syscallfault.Decision{Errno: errors[s.rng.IntN(len(errors))]}
+}
+
+func (s *systemCalls) setSocketFaults(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.socketFaults = on
+}
+
+func (s *systemCalls) setLateWrites(on bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateWrites = on
+}
+
+func (s *systemCalls) stepClock(step time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.clockOffset += step
+}
+
+// endFaults ends all faults but the steps of the clock.
+func (s *systemCalls) endFaults() {
+	if s == nil {
+		return
+	}
+	s.folder.Set(syscallfault.FolderFault{})
+	s.setSocketFaults(false)
+	s.setLateWrites(false)
+}
+
+// randomFolderFault draws how a folder fails.
+func randomFolderFault(rng *rand.Rand) syscallfault.FolderFault {
+	fault := syscallfault.FolderFault{Errno: folderErrors[rng.IntN(len(folderErrors))], Truncate: rng.IntN(2) == 0, Create: rng.IntN(2) == 0}
+	if rng.IntN(2) == 0 {
+		fault.Partial = rng.Float64()
+	}
+	return fault
+}
+
+func randomFolderFaultDuration(rng *rand.Rand) time.Duration {
+	return minFolderFault + time.Duration(rng.Int64N(int64(maxFolderFault-minFolderFault)))
+}
+
+// Faults of a sender's process together with faults of system calls.
+var (
+	killedInFolderFault = processFault{"SIGKILL while the folder fails, then start", 4 * time.Second, func(_ *Harness, s *managedSender, rng *rand.Rand) error {
+		fault, duration := randomFolderFault(rng), randomFolderFaultDuration(rng)
+		s.systemCalls.folder.Set(fault)
+		end := time.AfterFunc(duration, func() { s.systemCalls.folder.Set(syscallfault.FolderFault{}) })
+		defer end.Stop()
+		time.Sleep(time.Duration(rng.Int64N(int64(duration))))
+		s.kill()
+		time.Sleep(restartDelay)
+		err := s.startAndWait()
+		s.systemCalls.folder.Set(syscallfault.FolderFault{})
+		return err
+	}}
+	terminatedInFolderFault = processFault{"SIGTERM while the folder fails, then start", stopTimeout + 3*time.Second, func(_ *Harness, s *managedSender, rng *rand.Rand) error {
+		duration := randomFolderFaultDuration(rng)
+		s.systemCalls.folder.Set(randomFolderFault(rng))
+		end := time.AfterFunc(duration, func() { s.systemCalls.folder.Set(syscallfault.FolderFault{}) })
+		defer end.Stop()
+		time.Sleep(time.Duration(rng.Int64N(int64(duration))))
+		s.stop(stopTimeout)
+		time.Sleep(restartDelay)
+		err := s.startAndWait()
+		s.systemCalls.folder.Set(syscallfault.FolderFault{})
+		return err
+	}}
+	clockSteppedInRestart = processFault{"SIGKILL, a step of the wall clock, then start", 2 * time.Second, func(_ *Harness, s *managedSender, rng *rand.Rand) error {
+		s.kill()
+		s.systemCalls.stepClock(clockSteps[rng.IntN(len(clockSteps))])
+		time.Sleep(restartDelay)
+		return s.startAndWait()
+	}}
+	clockSteppedInUpgrade = processFault{"an upgrade and a step of the wall clock", stopTimeout + time.Second, func(_ *Harness, s *managedSender, rng *rand.Rand) error {
+		timer := time.AfterFunc(time.Duration(rng.Int64N(int64(startupTime))), func() { s.systemCalls.stepClock(clockSteps[rng.IntN(len(clockSteps))]) })
+		defer timer.Stop()
+		return s.upgrade(stopTimeout)
+	}}
+	folderFault = processFault{"the folder fails", 2 * time.Second, func(_ *Harness, s *managedSender, rng *rand.Rand) error {
+		s.systemCalls.folder.Set(randomFolderFault(rng))
+		time.Sleep(randomFolderFaultDuration(rng))
+		s.systemCalls.folder.Set(syscallfault.FolderFault{})
+		return nil
+	}}
+)
+
+// planSystemCallFaults lets calls for sockets fail, writes come late and posts of notices fail, for a while.
+func (p *Plan) planSystemCallFaults(h *Harness, sender *managedSender, rng *rand.Rand) {
+	for _, fault := range []struct {
+		description string
+		set         func(on bool)
+	}{{"accept, socket and connect fail", sender.systemCalls.setSocketFaults}, {"writes come late", sender.systemCalls.setLateWrites},
+		{"posts of notices fail", sender.agent.setNoticeFaults}} {
+		for at, length := randomInterval(h, rng); at < h.cfg.FaultPeriod; at += length + time.Duration(rng.Int64N(int64(4*time.Second))) {
+			p.add(at, sender.name+": "+fault.description, func() error { fault.set(true); return nil })
+			p.add(at+length, sender.name+": no longer: "+fault.description, func() error { fault.set(false); return nil })
+		}
+	}
+}
