Keep starting and handing over while this host cannot open or accept sockets

Seen, in the soak with failing sockets: a process ends at its start with "listen: ... too many open files in system"; a new version is not ready within 10 s, as the owner's handover socket refuses it. Cause: the addresses for clients and operators were opened once; acceptSuccessors ended at the first error of accept. Evidence: TestStartWaitsForSocketsThatFail and TestUpgradeAfterAcceptHasFailed failed before (exit status 1; not ready in 20 s) and pass.

--- a/internal/node/fault_process_test.go
+++ b/internal/node/fault_process_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -37,10 +38,14 @@
 	dir         string
 	folder      *syscallfault.Folder
 	clockOffset time.Duration // of the wall clock of the next process
+	failingCall atomic.Int32  // number of a call that fails with ENFILE; 0 for none
 }
 
 func newFaultRig(t *testing.T) *faultRig {
 	t.Helper()
+	if _, err := buildProgram(); err != nil { // now, and not during a fault that ends by the clock
+		t.Fatal(err)
+	}
 	r := &faultRig{t: t, platform: newTestPlatform(t), endpoint: newTestEndpoint(t), dir: t.TempDir()}
 	r.known = discovery.List{Generation: 1, Reset: true, Instances: instancesOf(r.endpoint)}
 	r.platform.list = r.known
@@ -61,9 +66,13 @@
 	}
 	offset := r.clockOffset
 	return startProcessBy(r.t, r.platform, r.dir, configText(r.platform, r.known), "127.0.0.1:0", cmd, func(cmd *exec.Cmd) error {
-		_, err := syscallfault.Start(cmd, append(syscallfault.FolderCalls(), unix.SYS_CLOCK_GETTIME), func(call syscallfault.Call) syscallfault.Decision {
-			if call.Number == unix.SYS_CLOCK_GETTIME {
+		calls := append(syscallfault.FolderCalls(), unix.SYS_CLOCK_GETTIME, unix.SYS_ACCEPT4, unix.SYS_SOCKET)
+		_, err := syscallfault.Start(cmd, calls, func(call syscallfault.Call) syscallfault.Decision {
+			switch call.Number {
+			case unix.SYS_CLOCK_GETTIME:
 				return call.AnswerClock(offset)
+			case int(r.failingCall.Load()):
+				return syscallfault.Decision{Errno: unix.ENFILE}
 			}
 			return r.folder.Decide(call)
 		})
@@ -207,6 +216,51 @@
 	x.kill()
 }
 
+// Sockets that cannot be opened for a while when a process starts must not end it.
+func TestStartWaitsForSocketsThatFail(t *testing.T) {
+	const faultTime = time.Second
+	r := newFaultRig(t)
+	r.failingCall.Store(unix.SYS_SOCKET)
+	faultEnd := time.AfterFunc(faultTime, func() { r.failingCall.Store(0) })
+	defer faultEnd.Stop()
+	begun := time.Now()
+	x := r.start()
+	if took := time.Since(begun); took > faultTime+time.Second {
+		t.Errorf("ready %v after the start, with sockets that fail for %v", took, faultTime)
+	}
+	dialClient(t, x.addr).put("a", "safe", "+OK")
+	x.kill()
+}
+
+// A connection that cannot be accepted must not end the handover socket: a new version would never become ready.
+func TestUpgradeAfterAcceptHasFailed(t *testing.T) {
+	r := newFaultRig(t)
+	first := r.start()
+	r.failingCall.Store(unix.SYS_ACCEPT4)
+	path, closeFolder := handoverPath(t, r.dir)
+	defer closeFolder()
+	conn, err := net.Dial("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	conn.Close()
+	r.failingCall.Store(0)
+	second := r.start() // it has another address; the handover is what matters
+	second.kill()
+	first.kill()
+}
+
+// handoverPath returns the path of the handover socket, which is valid until the returned function is called.
+func handoverPath(t *testing.T, dir string) (path string, closeFolder func()) {
+	t.Helper()
+	path, folder, err := handoverSocketPath(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return path, func() { folder.Close() }
+}
+
 // A message's time goes on by the real time between a kill and the next start, whatever the wall clock says.
 func TestMessageKeepsItsTimeIfTheWallClockIsSteppedBetweenKillAndStart(t *testing.T) {
 	for _, step := range []time.Duration{-time.Hour, -2 * time.Second, 2 * time.Second, time.Hour} {
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -130,12 +130,14 @@
 	defer context.AfterFunc(work, func() { ln.Close() })()
 	for {
 		conn, err := ln.AcceptUnix()
-		if err != nil {
-			if !errors.Is(err, net.ErrClosed) {
-				n.log.Error("handover", "err", err)
-			}
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			n.log.Error("handover", "err", err)
+			time.Sleep(shortRetryDelay) // possibly out of descriptors
+			continue
+		}
 		conn.SetDeadline(time.Now().Add(handoverRequestTimeout))
 		line, err := bufio.NewReader(io.LimitReader(conn, maxCommandBytes)).ReadString('\n')
 		line = strings.TrimSuffix(line, "\n")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -226,14 +226,17 @@
 	work, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	defer n.close()
-	endAdmin, err := n.openAdmin()
+	endAdmin, err := n.openAdmin(ctx)
 	if err != nil {
+		if ctx.Err() != nil {
+			return nil // stopped while it waited for the address
+		}
 		return err
 	}
 	defer endAdmin()
 	if err := n.acquireMessages(ctx, work); err != nil {
 		if ctx.Err() != nil {
-			return nil // stopped while it waited for the owner of the state
+			return nil // stopped while it waited for the state or an address
 		}
 		return err
 	}
@@ -301,7 +304,8 @@
 	}
 	n.resumeFromJournal()
 	n.step(work) // the journal's messages come before any client: their ends may be due
-	if n.listener, err = listenShared(ctx, n.cfg.ListenAddr); err != nil {
+	n.listener, err = listenPatiently(ctx, n.log, func() (net.Listener, error) { return listenShared(ctx, n.cfg.ListenAddr) })
+	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	return nil
@@ -364,15 +368,15 @@
 }
 
 // openAdmin serves operators, if an address for them is configured, until the returned function has been called.
-func (n *Node) openAdmin() (end func(), err error) {
+func (n *Node) openAdmin(ctx context.Context) (end func(), err error) {
 	if n.admin == nil {
 		return func() {}, nil
 	}
-	ln, err := n.admin.listen(n.cfg.OperatorAddr)
+	ln, err := listenPatiently(ctx, n.log, func() (net.Listener, error) { return n.admin.listen(n.cfg.OperatorAddr) })
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithCancel(context.Background())
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	closed := make(chan struct{})
 	go func() { defer close(closed); n.admin.serve(ctx, ln) }()
 	n.log.Info("admin server", "addr", ln.Addr().String())
