--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -113,7 +113,8 @@
 // limit is rewritten with the entries that are left. It is not safe for concurrent use.
 type Journal struct {
 	dir            string
-	file           *os.File
+	files          fileSystem
+	file           journalFile
 	size           int64
 	limit          int64 // of one file, in bytes; during a rewrite there are two files
 	truncatedBytes int64 // bytes after the last whole record that were cut off when it was opened
@@ -141,9 +142,13 @@
 // OpenJournal replays the journal in dir, cuts off a torn end and opens it for appending. Together its files stay under
 // diskBytes.
 func OpenJournal(dir string, diskBytes int64) (*Journal, error) {
-	j := &Journal{dir: dir, entries: map[string]*Entry{}, disabled: map[string]bool{}, limit: journalFileLimit(diskBytes)}
-	_ = os.Remove(j.path(".new")) // of a rewrite that was cut short; if it stays, the next rewrite replaces it
-	f, err := os.OpenFile(j.path(""), os.O_RDWR|os.O_CREATE, 0o600)
+	return openJournalOn(systemFiles{}, dir, diskBytes)
+}
+
+func openJournalOn(files fileSystem, dir string, diskBytes int64) (*Journal, error) {
+	j := &Journal{dir: dir, files: files, entries: map[string]*Entry{}, disabled: map[string]bool{}, limit: journalFileLimit(diskBytes)}
+	_ = files.Remove(j.path(".new")) // of a rewrite that was cut short; if it stays, the next rewrite replaces it
+	f, err := files.Open(j.path(""), os.O_RDWR|os.O_CREATE)
 	if err != nil {
 		return nil, fmt.Errorf("journal: %w", err)
 	}
@@ -159,7 +164,7 @@
 
 // replay applies the records up to the first one that is not whole and cuts off the file behind them. If it cannot be
 // cut now, the tail stays dirty.
-func (j *Journal) replay(f *os.File) error {
+func (j *Journal) replay(f journalFile) error {
 	r := wal.NewReader(f, maxRecordBytes)
 	for {
 		body, err := r.Next()
@@ -397,7 +402,7 @@
 // Compact rewrites the journal with the entries that are left. The new file replaces the old one by a rename once it is
 // complete.
 func (j *Journal) Compact() error {
-	f, err := os.OpenFile(j.path(".new"), os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	f, err := j.files.Open(j.path(".new"), os.O_RDWR|os.O_CREATE|os.O_TRUNC)
 	if err != nil {
 		return err
 	}
@@ -409,11 +414,11 @@
 		_, err = f.WriteAt(b, 0)
 	}
 	if err == nil {
-		err = os.Rename(j.path(".new"), j.path(""))
+		err = j.files.Rename(j.path(".new"), j.path(""))
 	}
 	if err != nil {
 		f.Close()
-		return errors.Join(err, os.Remove(j.path(".new")))
+		return errors.Join(err, j.files.Remove(j.path(".new")))
 	}
 	j.file.Close()
 	j.file, j.size = f, int64(len(b))
