Keep posting notices every 10 ms while posts fail at once

Cause: each post that failed for want of a socket counted towards the doubling of the delay, as one without an answer does. Change: after a post that failed the delay doubles from the 20th post on (0.2 s), after one without an answer from the third on.

--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -23,16 +23,17 @@
 )
 
 const (
-	maxNoticesPerPost = 256
-	maxNewPosts       = 4                      // at the same time, each for less than noticeFirstRepeat
-	maxPosts          = 12                     // at the same time, with those that got no answer so far
-	noticePostTimeout = time.Second            // for the answer to a post, which normally comes at once
-	noticeFirstRepeat = 50 * time.Millisecond  // from a post without an answer to the next post of its notices
-	noticeFirstRetry  = 10 * time.Millisecond  // from a post that failed to the next
-	noticeEqualDelays = 3                      // posts of a notice after which these delays begin to double
-	noticeMaxRepeat   = 400 * time.Millisecond // longest delay of both kinds
-	noticeIdleTimeout = 30 * time.Second       // of the kept connection
-	noticeNoDue       = time.Hour              // how long the queue sleeps if no notice is due
+	maxNoticesPerPost  = 256
+	maxNewPosts        = 4                      // at the same time, each for less than noticeFirstRepeat
+	maxPosts           = 12                     // at the same time, with those that got no answer so far
+	noticePostTimeout  = time.Second            // for the answer to a post, which normally comes at once
+	noticeFirstRepeat  = 50 * time.Millisecond  // from a post without an answer to the next post of its notices
+	noticeFirstRetry   = 10 * time.Millisecond  // from a post that failed to the next
+	noticeEqualRepeats = 3                      // posts of a notice after which the delay begins to double if there is no answer ...
+	noticeEqualRetries = 20                     // ... and if posts fail, as they do at once while this host has no socket
+	noticeMaxRepeat    = 400 * time.Millisecond // longest delay of both kinds
+	noticeIdleTimeout  = 30 * time.Second       // of the kept connection
+	noticeNoDue        = time.Hour              // how long the queue sleeps if no notice is due
 )
 
 // noticesConfirmedEvent says that the platform has confirmed the ends of these messages.
@@ -45,10 +46,10 @@
 	postAt time.Time // when the next one is due
 }
 
-// repeatDelay returns how long to wait before the next post: first, doubled with each post after the third.
-func (q *queuedNotice) repeatDelay(first time.Duration) time.Duration {
+// repeatDelay returns how long to wait before the next post: first, doubled with each post after the given number.
+func (q *queuedNotice) repeatDelay(first time.Duration, equalDelays int) time.Duration {
 	delay := first
-	for range q.posts - noticeEqualDelays {
+	for range q.posts - equalDelays {
 		if delay *= 2; delay >= noticeMaxRepeat {
 			return noticeMaxRepeat
 		}
@@ -163,7 +164,7 @@
 			n.counts.repeated++
 		}
 		q.posts++
-		q.postAt = now.Add(q.repeatDelay(noticeFirstRepeat))
+		q.postAt = now.Add(q.repeatDelay(noticeFirstRepeat, noticeEqualRepeats))
 		if post.notices = append(post.notices, q.Notice); len(post.notices) == maxNoticesPerPost {
 			break
 		}
@@ -226,7 +227,7 @@
 	n.counts.failed++
 	failedIDs := noticeIDs(failed)
 	for _, q := range n.queue {
-		if retryAt := now.Add(q.repeatDelay(noticeFirstRetry)); failedIDs[q.ID] && retryAt.Before(q.postAt) {
+		if retryAt := now.Add(q.repeatDelay(noticeFirstRetry, noticeEqualRetries)); failedIDs[q.ID] && retryAt.Before(q.postAt) {
 			q.postAt = retryAt
 		}
 	}
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -47,14 +47,14 @@
 	go n.run(t.Context())
 	n.add(Notice{ID: "a", State: "failed"})
 	last := await(t, received, "notice")
-	for i := range noticeEqualDelays + 1 {
+	for i := range noticeEqualRepeats + 1 {
 		answer <- false
 		next := await(t, received, "notice again")
 		gap := next.Sub(last)
 		if i == 0 && gap > endLimit {
 			t.Errorf("sent again after %v, which is too late", gap)
 		}
-		if i == noticeEqualDelays && gap < 3*noticeFirstRepeat/2 { // without growth it would be noticeFirstRepeat
+		if i == noticeEqualRepeats && gap < 3*noticeFirstRepeat/2 { // without growth it would be noticeFirstRepeat
 			t.Errorf("the delay does not grow for a slow platform: %v", gap)
 		}
 		last = next
