Do not take a socket that this host could not open for a silent agent

Cause: any error of dialing counted as an agent that does not answer, which learns nothing: the list stayed in use with no end. An error of this host says nothing about the agent. Change: such a request counts as not sent. Errors of this host are named in package neterror.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -22,6 +22,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"crossdeal/internal/neterror"
 )
 
 const (
@@ -98,6 +100,7 @@
 	UnusableAnswer bool   // an unusable answer arrived: it may have held changes, which are requested again
 	Err            error  // of a call that failed; the watch has ended
 	Unresponsive   bool   // with Err: discovery did not answer at all
+	NotSent        bool   // with Err: this host could not send the call, which says nothing about discovery
 	Done           func() // called by the receiver once the update is applied; nil if there is none
 }
 
@@ -250,7 +253,7 @@
 		if err != nil {
 			c.log.Log(ctx, c.failureLogLevel(), "discovery", "err", err)
 			c.discoveryBusy = c.discoveryBusy || errors.Is(err, errUnavailable)
-			c.emit(ctx, Event{Err: err, Unresponsive: isUnresponsive(err)})
+			c.emit(ctx, Event{Err: err, Unresponsive: isUnresponsive(err), NotSent: isNotSent(err)})
 			return
 		}
 		pause, took := time.Duration(0), time.Since(calledAt)
@@ -315,9 +318,15 @@
 // isUnresponsive reports whether a call failed because there was no answer: the connection was not established, or no
 // data came over it.
 func isUnresponsive(err error) bool {
+	return errors.Is(err, errUnresponsive) && !errors.Is(err, errUnreadable) || isDialError(err) && !neterror.IsLocal(err)
+}
+
+// isNotSent reports whether this host could not open a connection for a call.
+func isNotSent(err error) bool { return isDialError(err) && neterror.IsLocal(err) }
+
+func isDialError(err error) bool {
 	var opErr *net.OpError
-	return errors.Is(err, errUnresponsive) && !errors.Is(err, errUnreadable) ||
-		errors.As(err, &opErr) && opErr.Op == "dial"
+	return errors.As(err, &opErr) && opErr.Op == "dial"
 }
 
 // awaitAnswer makes a call and returns its answer. If the call is a watch, it reports when discovery has accepted it;
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -9,6 +9,8 @@
 	"net"
 	"syscall"
 	"time"
+
+	"crossdeal/internal/neterror"
 )
 
 // listenWarningInterval is the time between two log lines of a start that waits for a listener.
@@ -20,7 +22,7 @@
 	var warnedAt time.Time
 	for {
 		ln, err := listen()
-		if err == nil || !isLocalError(err) && !errors.Is(err, syscall.EADDRINUSE) {
+		if err == nil || !neterror.IsLocal(err) && !errors.Is(err, syscall.EADDRINUSE) {
 			return ln, err
 		}
 		if time.Since(warnedAt) > listenWarningInterval {
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -71,7 +71,7 @@
 func (n *Node) handleListEvent(ev discovery.Event) {
 	if ev.Err != nil {
 		n.watching = false
-		n.nextEvents = append(n.nextEvents, logic.ListUpdate{Form: logic.ListRequestFailed, Unresponsive: ev.Unresponsive})
+		n.nextEvents = append(n.nextEvents, logic.ListUpdate{Form: logic.ListRequestFailed, Unresponsive: ev.Unresponsive, NotSent: ev.NotSent})
 		if n.watcher.AddressChanged() { // during the request: it was the old address that failed
 			n.nextEvents = append(n.nextEvents, logic.DiscoveryMoved{})
 		}
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -16,9 +16,9 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
+	"crossdeal/internal/neterror"
 	"crossdeal/logic"
 )
 
@@ -309,7 +309,7 @@
 		return nil, err
 	}
 	dialed, err := t.dialer.DialContext(ctx, "tcp", c.addr)
-	for isLocalError(err) && ctx.Err() == nil { // nothing was sent, so this is still the same attempt
+	for neterror.IsLocal(err) && ctx.Err() == nil { // nothing was sent, so this is still the same attempt
 		t.countEvent("local_failure")
 		sleepContext(ctx, localRetryDelay)
 		dialed, err = t.dialer.DialContext(ctx, "tcp", c.addr)
@@ -318,7 +318,7 @@
 		if t.clients != nil {
 			t.clients.releaseCallDescriptor()
 		}
-		if isLocalError(err) {
+		if neterror.IsLocal(err) {
 			err = fmt.Errorf("%w: %w", errLocalFailure, err)
 		}
 		return nil, err
@@ -331,14 +331,6 @@
 // localRetryDelay is the time between two connection attempts that fail on this host.
 const localRetryDelay = 100 * time.Millisecond
 
-// localErrors are connection errors of this host. They are transient and are not counted against the endpoint.
-var localErrors = []error{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EADDRNOTAVAIL,
-	syscall.EAGAIN, syscall.ENETUNREACH, syscall.ENETDOWN}
-
-func isLocalError(err error) bool {
-	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
-}
-
 // sleepContext waits for d, or until ctx is done.
 func sleepContext(ctx context.Context, d time.Duration) {
 	select {
--- a/logic/list_lease.go
+++ b/logic/list_lease.go
@@ -54,6 +54,11 @@
 	if ev.Form != ListRequestFailed || watchFailed {
 		s.listConfirmedAt = s.now
 	}
+	s.listRequestUnsent = ev.Form == ListRequestFailed && ev.NotSent
+	if s.listRequestUnsent && s.settings.ListPushed && !watchFailed {
+		s.noteUnsentRequest()
+		return
+	}
 	if ev.Form == ListRequestFailed && s.settings.ListPushed {
 		s.listSaved = s.listSaved && !watchFailed
 		s.agentUnresponsive = ev.Unresponsive && !watchFailed
@@ -105,6 +110,15 @@
 	s.agentUnresponsive, s.unusableAnswerAt = false, max(s.now, 1)
 }
 
+// noteUnsentRequest records that a request could not be sent. From here on it is not known whether the
+// agent is still unresponsive, so its list counts as confirmed until now.
+func (s *Sender) noteUnsentRequest() {
+	if s.agentUnresponsive {
+		s.listConfirmedAt, s.agentUnresponsive = s.now, false
+	}
+	s.scheduleListRetry(false)
+}
+
 // scheduleListRetry sets when the list is requested again after a request or watch that failed
 // (watchFailed), with a delay that doubles each time.
 func (s *Sender) scheduleListRetry(watchFailed bool) {
@@ -201,6 +215,8 @@
 		return max(validUntil, s.unusableAnswerAt) + maxUnusableListWait
 	case s.listSaved: // the agent may have given the previous process changes that the list lacks
 		return min(validUntil+maxUnusableListWait, max(validUntil+maxSavedListWaitMicros, m.listWaitUntil))
+	case s.listRequestUnsent: // the agent may be up and have an update
+		return validUntil + maxUnusableListWait
 	case s.agentUnresponsive:
 		return distantPast
 	}
--- a/logic/pushed_list_test.go
+++ b/logic/pushed_list_test.go
@@ -13,7 +13,7 @@
 	watched, unresponsive := ListUpdate{Form: ListWatchOpen}, ListUpdate{Form: ListRequestFailed, Unresponsive: true}
 	failed, unusable, begun :=
 		ListUpdate{Form: ListRequestFailed}, ListUpdate{Form: ListAnswerUnusable}, ListUpdate{Form: ListAnswerBegun}
-	update := ListUpdate{Form: ListDelta}
+	update, notSent := ListUpdate{Form: ListDelta}, ListUpdate{Form: ListRequestFailed, NotSent: true}
 	type timed struct {
 		at     float64
 		update ListUpdate
@@ -43,6 +43,14 @@
 			15 + lease + 0.01, false},
 		"unresponsive once, after an unusable answer": {false, []timed{{0.1, watched}, {9, unusable}, {9.5, unresponsive}},
 			12, false},
+		"requests not sent since the watch failed": {false, []timed{{0.1, watched}, {9, failed}, {9.3, notSent}, {12, notSent}},
+			15, false},
+		"request not sent, and the agent was unresponsive before": {false,
+			[]timed{{0.1, watched}, {9, failed}, {9.3, unresponsive}, {12, notSent}}, 12 + lease - 0.01, true},
+		"requests not sent for the grace, and the agent was unresponsive before": {false,
+			[]timed{{0.1, watched}, {9, failed}, {9.3, unresponsive}, {12, notSent}, {12.5, notSent}}, 12 + lease + 0.01, false},
+		"unresponsive again after a request that was not sent": {false,
+			[]timed{{0.1, watched}, {9, failed}, {12, notSent}, {12.5, unresponsive}}, 20, true},
 		"after a start":                     {true, nil, 0.01, false},
 		"after a start, answered":           {true, []timed{{0.01, update}}, 0.02, true},
 		"after a start, agent unresponsive": {true, []timed{{0.3, unresponsive}, {0.7, unresponsive}}, 2, false},
--- a/logic/types.go
+++ b/logic/types.go
@@ -183,6 +183,7 @@
 	Entries      []Entry
 	Stale        bool // ListSaved: changes may have been missed; an update with them is on its way
 	Unresponsive bool // ListRequestFailed: there was no answer at all
+	NotSent      bool // ListRequestFailed: this host could not send the request
 }
 
 // NewMessage is a new message, or one that this sender held before a restart.
