Let operators whose answers are on their way make room for others

Change: a full table evicts the connection that was answered first, whose close then waits no longer; who is turned away is told so with a line. The number of connections stays within the descriptors set apart for operators.

--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -56,8 +56,10 @@
 
 // operatorConn is a connection of the admin server.
 type operatorConn struct {
-	connectedAt time.Time
-	received    bool // its command has been read
+	since    time.Time     // when it was accepted, or answered
+	received bool          // its command has been read
+	answered bool          // only its close is left
+	closeNow chan struct{} // closed when it is evicted
 }
 
 func newAdminServer(log *slog.Logger, sockets int, commands chan<- operatorCommand) *adminServer {
@@ -143,7 +145,7 @@
 			continue
 		}
 		if !s.addConn(conn) {
-			conn.Close()
+			s.turnAway(conn)
 			continue
 		}
 		s.wg.Go(func() {
@@ -153,33 +155,58 @@
 	}
 }
 
-// addConn adds a connection to the table. If the table is full, the oldest connection that has sent no command is
-// evicted, so that idle connections do not block others. It returns false if none can be evicted.
+// turnAway tells an operator that there is no room, and closes the connection.
+func (s *adminServer) turnAway(conn net.Conn) {
+	conn.SetWriteDeadline(time.Now().Add(commandIOTimeout))
+	_, _ = io.WriteString(conn, failLine(errTooBusy)) // does not wait: the send buffer is empty
+	conn.Close()
+}
+
+// addConn adds a connection to the table. If the table is full, one is evicted: the one that was answered first, as it
+// only waits for its operator to acknowledge that, or the oldest that has sent no command, so that idle connections do
+// not block others. It returns false if none can be evicted.
 func (s *adminServer) addConn(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if len(s.conns) >= s.maxConns && !s.evictIdle() {
+	if len(s.conns) >= s.maxConns && !s.evictAnswered() && !s.evictIdle() {
 		return false // all connections wait for their answers, which come soon
 	}
-	s.conns[conn] = &operatorConn{connectedAt: time.Now()}
+	s.conns[conn] = &operatorConn{since: time.Now(), closeNow: make(chan struct{})}
+	return true
+}
+
+// evictAnswered evicts the connection that was answered first; false if there is none. The caller holds s.mu.
+func (s *adminServer) evictAnswered() bool {
+	conn := s.oldest(func(operator *operatorConn) bool { return operator.answered })
+	if conn == nil {
+		return false
+	}
+	close(s.conns[conn].closeNow)
+	delete(s.conns, conn)
 	return true
 }
 
 // evictIdle evicts the oldest connection that has sent no command; false if there is none. Its handler wakes and
 // closes the connection. The caller holds s.mu.
 func (s *adminServer) evictIdle() bool {
-	var oldest net.Conn
+	conn := s.oldest(func(operator *operatorConn) bool { return !operator.received })
+	if conn == nil {
+		return false
+	}
+	delete(s.conns, conn)
+	conn.SetReadDeadline(time.Unix(1, 0))
+	return true
+}
+
+// oldest returns the connection that has been in its state longest, of those that match; nil if none does. The caller
+// holds s.mu.
+func (s *adminServer) oldest(matches func(*operatorConn) bool) (oldest net.Conn) {
 	for conn, operator := range s.conns {
-		if !operator.received && (oldest == nil || operator.connectedAt.Before(s.conns[oldest].connectedAt)) {
+		if matches(operator) && (oldest == nil || operator.since.Before(s.conns[oldest].since)) {
 			oldest = conn
 		}
 	}
-	if oldest == nil {
-		return false
-	}
-	delete(s.conns, oldest)
-	oldest.SetReadDeadline(time.Unix(1, 0))
-	return true
+	return oldest
 }
 
 // markReceived records that the command of a connection has been read; false if the connection was evicted.
@@ -193,15 +220,29 @@
 	return operator != nil
 }
 
-// closeConn closes a connection. Before that, it waits up to closeAckTimeout for the answer to be acknowledged.
+// closeConn closes a connection. Before that, it waits up to closeAckTimeout for the answer to be acknowledged, unless
+// its place is needed.
 func (s *adminServer) closeConn(conn net.Conn) {
-	awaitAck(conn)
+	awaitAck(conn, s.markAnswered(conn))
 	conn.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, conn)
 }
 
+// markAnswered records that only the close of a connection is left, and returns a channel that is closed when it has to
+// come at once; nil if the connection was evicted before.
+func (s *adminServer) markAnswered(conn net.Conn) <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	operator := s.conns[conn]
+	if operator == nil {
+		return nil
+	}
+	operator.received, operator.answered, operator.since = true, true, time.Now()
+	return operator.closeNow
+}
+
 // wakeIdle wakes the handlers of connections that have sent no command.
 func (s *adminServer) wakeIdle() {
 	s.mu.Lock()
@@ -232,7 +273,7 @@
 	}
 	answer := "ok\n"
 	if err != nil {
-		answer = "fail " + err.Error() + "\n"
+		answer = failLine(err)
 	}
 	conn.SetWriteDeadline(time.Now().Add(commandIOTimeout))
 	if _, err := io.WriteString(conn, answer); err != nil {
@@ -240,6 +281,8 @@
 	}
 }
 
+func failLine(err error) string { return "fail " + err.Error() + "\n" }
+
 // executeCommand carries out a command and returns why that failed.
 func (s *adminServer) executeCommand(ctx context.Context, words []string) error {
 	if len(words) == 0 {
--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -155,6 +155,40 @@
 	s.wg.Wait()
 }
 
+// Guards against operators that are turned away although nobody waits for an answer: connections whose answers are not
+// acknowledged yet make room, the one that was answered first before the others, and the table stays within its bound.
+func TestAnsweredOperatorsMakeRoom(t *testing.T) {
+	for _, sockets := range []int{1024, 64} {
+		s := newAdminServer(slog.New(slog.DiscardHandler), sockets, nil)
+		var closeNow []<-chan struct{}
+		for range s.maxConns {
+			conn := newConnPair(t).served
+			if !s.addConn(conn) {
+				t.Fatal("connection was rejected")
+			}
+			closeNow = append(closeNow, s.markAnswered(conn))
+		}
+		for i := range s.maxConns {
+			if conn := newConnPair(t).served; !s.addConn(conn) || !s.markReceived(conn) {
+				t.Fatalf("%d places: newcomer %d was turned away", s.maxConns, i)
+			}
+			select {
+			case <-closeNow[i]:
+			default:
+				t.Errorf("%d places: the connection answered first was not told to close", s.maxConns)
+			}
+		}
+		last := newConnPair(t) // all wait for their answers now
+		if s.addConn(last.served) || len(s.conns) > s.maxConns {
+			t.Errorf("%d connections, want at most %d", len(s.conns), s.maxConns)
+		}
+		s.turnAway(last.served)
+		if got := last.readLine(); !strings.HasPrefix(got, "fail ") {
+			t.Errorf("turned away with %q", got)
+		}
+	}
+}
+
 // A call that is still connecting when its endpoint is disabled is not written.
 func TestDisablingEndpointWithholdsConnectingCalls(t *testing.T) {
 	n, _, _, _ := startNodeWithEndpoints(t, 1)
--- a/internal/node/client_close.go
+++ b/internal/node/client_close.go
@@ -48,7 +48,7 @@
 	}
 	cc.markDrained(reason)
 	if reason != closedByPeer && reason != closedUnwritten {
-		awaitAck(cc.Conn)
+		awaitAck(cc.Conn, nil)
 	}
 	unread := hasData(cc.Conn)
 	cc.Conn.Close()
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -20,13 +20,14 @@
 
 // awaitAck closes the sending direction and waits up to closeAckTimeout until the peer has acknowledged all
 // that was written. A close with unread bytes sends a reset, which would overtake written bytes that have not
-// arrived yet. It reads nothing. The FIN counts as one byte and is acknowledged without delay.
-func awaitAck(conn net.Conn) {
+// arrived yet. It reads nothing. The FIN counts as one byte and is acknowledged without delay. The wait ends early when
+// stop is closed; nil for never.
+func awaitAck(conn net.Conn, stop <-chan struct{}) {
 	writeCloser, ok := conn.(interface{ CloseWrite() error })
 	if !ok || writeCloser.CloseWrite() != nil {
 		return
 	}
-	for deadline := time.Now().Add(closeAckTimeout); time.Now().Before(deadline); time.Sleep(closeAckPollInterval) {
+	for deadline := time.Now().Add(closeAckTimeout); time.Now().Before(deadline); {
 		unacknowledged, err := socketByteCount(conn, unix.SIOCOUTQ)
 		if err == nil && unacknowledged == 0 {
 			return
@@ -34,6 +35,11 @@
 		if err != nil && !hasData(conn) {
 			return // the system gives no count; without unread bytes the close sends no reset
 		}
+		select {
+		case <-stop:
+			return
+		case <-time.After(closeAckPollInterval):
+		}
 	}
 }
 
