Do not write a call after its message's time if its record was written late

Cause: a call on a kept connection was checked before its record was appended, and a hold-up of that write came on top. Change: the transport checks the message's deadline, like the window for repeats, in the moment before it writes. Evidence: TestCallIsNotWrittenAfterItsDeadlineIfTheJournalIsSlow failed before (sent after its time by more than 0.05 s) and passes.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -59,10 +59,13 @@
 	target := n.target(a.Endpoint)
 	c := &call{id: a.ID, attempt: attempt, endpoint: a.Endpoint, addr: target.Address, destination: target.Destination,
 		timeout: toDuration(a.GiveUp), state: new(atomic.Int32), reusedConn: idleConn}
+	c.writeDeadline = n.clock.Time(h.message.Deadline)
 	c.mayWrite = func(ctx context.Context) bool { return n.requestWritePermission(ctx, c) }
 	if e := n.journal.Entry(a.ID); e != nil && e.MayHaveRun { // a repeat: if keyed, only within the window
 		if class := n.cfg.Deployment.Settings.Classes[n.cfg.ClassIndexes[h.message.Class]]; class.Effect == logic.Keyed {
-			c.writeDeadline = n.clock.Time(e.FirstMayHaveRunAt).Add(toDuration(class.Window))
+			if windowEnd := n.clock.Time(e.FirstMayHaveRunAt).Add(toDuration(class.Window)); windowEnd.Before(c.writeDeadline) {
+				c.writeDeadline = windowEnd
+			}
 		}
 	}
 	ctx, cancel := context.WithCancelCause(work)
--- a/internal/node/fault_process_test.go
+++ b/internal/node/fault_process_test.go
@@ -39,6 +39,7 @@
 	folder      *syscallfault.Folder
 	clockOffset time.Duration // of the wall clock of the next process
 	failingCall atomic.Int32  // number of a call that fails with ENFILE; 0 for none
+	writeDelay  atomic.Int64  // of each write to a file, in nanoseconds
 }
 
 func newFaultRig(t *testing.T) *faultRig {
@@ -74,7 +75,11 @@
 			case int(r.failingCall.Load()):
 				return syscallfault.Decision{Errno: unix.ENFILE}
 			}
-			return r.folder.Decide(call)
+			decision := r.folder.Decide(call)
+			if call.Number == unix.SYS_PWRITE64 {
+				decision.Delay = time.Duration(r.writeDelay.Load())
+			}
+			return decision
 		})
 		return err
 	})
@@ -216,6 +221,26 @@
 	x.kill()
 }
 
+// A call whose record is written late must not be written after the message's time.
+func TestCallIsNotWrittenAfterItsDeadlineIfTheJournalIsSlow(t *testing.T) {
+	const timeLimit = 50 * time.Millisecond
+	r := newFaultRig(t)
+	x := r.start()
+	c := dialClient(t, x.addr)
+	c.put("first", "safe", "+OK") // its connection is kept for the next call
+	await(t, r.endpoint.calls, "call").reply(200)
+	time.Sleep(100 * time.Millisecond)
+	r.writeDelay.Store(int64(maxHoldUp))
+	sentAt := time.Now()
+	c.putWithTime("late", "safe", int(timeLimit.Milliseconds()), "+OK")
+	for _, call := range r.callsUntil(time.Now().Add(500 * time.Millisecond)) {
+		if late := call.receivedAt.Sub(sentAt) - timeLimit; late > timeSlack {
+			t.Errorf("message %s was sent %v after its time", call.id(), late)
+		}
+	}
+	x.kill()
+}
+
 // Sockets that cannot be opened for a while when a process starts must not end it.
 func TestStartWaitsForSocketsThatFail(t *testing.T) {
 	const faultTime = time.Second
