--- a/internal/soak/system_calls.go
+++ b/internal/soak/system_calls.go
@@ -13,8 +13,9 @@
 
 const (
 	socketFaultShare = 0.3                    // of the calls that fail during a fault of sockets
-	heldUpShare      = 0.02                   // of the writes that come late during a fault of late writes
-	maxHoldUp        = 150 * time.Millisecond // of one call
+	lateWriteShare   = 0.05                   // of the writes that come late during a fault of late writes ...
+	maxHoldUp        = 150 * time.Millisecond // ... by this at most ...
+	minHoldUpGap     = 500 * time.Millisecond // ... and not sooner than this after the last one, as the terms have it
 	maxFolderFault   = 2700 * time.Millisecond
 	minFolderFault   = 200 * time.Millisecond
 )
@@ -37,6 +38,7 @@
 	rng          *rand.Rand
 	socketFaults bool
 	lateWrites   bool
+	heldUpAt     time.Time     // when a write was last held up
 	clockOffset  time.Duration // of the wall clock
 }
 
@@ -72,12 +74,18 @@
 		return s.socketDecision(connectErrors)
 	}
 	decision := s.folder.Decide(call)
-	if s.lateWrites && s.rng.Float64() < heldUpShare {
+	if s.lateWrites && isWrite(call) && time.Since(s.heldUpAt) > minHoldUpGap && s.rng.Float64() < lateWriteShare {
 		decision.Delay = time.Duration(s.rng.Int64N(int64(maxHoldUp)))
+		s.heldUpAt = time.Now()
 	}
 	return decision
 }
 
+// isWrite reports whether a call writes to a file or a socket, other than the log.
+func isWrite(call syscallfault.Call) bool {
+	return call.Number == unix.SYS_PWRITE64 || call.Number == unix.SYS_WRITE && call.Args[0] > uint64(syscall.Stderr)
+}
+
 // socketDecision fails some calls during a fault of sockets. The caller holds s.mu.
 func (s *systemCalls) socketDecision(errors []syscall.Errno) syscallfault.Decision {
 	if !s.socketFaults || s.rng.Float64() >= socketFaultShare {
