Count a list as confirmed only until the last silence of the agent was seen

Cause: connect failed with EHOSTUNREACH or ETIMEDOUT at once, which counted as an agent that does not answer, and a request that could not be sent after that confirmed the list anew. Change: these errors count as a request that was not sent: an agent is on this host, and a call is given up before the system's own time is over. After such a request the list is good for the grace from the end of the last request without an answer. The soak's agents listen on an address of their own: an old address had become an endpoint's, which took a call for the list for a message.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -21,6 +21,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"crossdeal/internal/neterror"
@@ -318,11 +319,16 @@
 // isUnresponsive reports whether a call failed because there was no answer: the connection was not established, or no
 // data came over it.
 func isUnresponsive(err error) bool {
-	return errors.Is(err, errUnresponsive) && !errors.Is(err, errUnreadable) || isDialError(err) && !neterror.IsLocal(err)
+	return errors.Is(err, errUnresponsive) && !errors.Is(err, errUnreadable) || isDialError(err) && !isNotSent(err)
 }
 
-// isNotSent reports whether this host could not open a connection for a call.
-func isNotSent(err error) bool { return isDialError(err) && neterror.IsLocal(err) }
+// isNotSent reports whether this host could not open a connection for a call. Errors of the network count too: a call
+// that gets no answer is given up long before the system's own time for a connection is over, and an agent is on this
+// host.
+func isNotSent(err error) bool {
+	return isDialError(err) &&
+		(neterror.IsLocal(err) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH))
+}
 
 func isDialError(err error) bool {
 	var opErr *net.OpError
--- a/internal/soak/agent.go
+++ b/internal/soak/agent.go
@@ -61,7 +61,7 @@
 
 // open serves the list as the agent knows it on a new address. Its generations begin at the one given.
 func (a *agent) open(generation int64) error {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := net.Listen("tcp", "127.0.3.1:0")
 	if err != nil {
 		return err
 	}
--- a/logic/list_lease.go
+++ b/logic/list_lease.go
@@ -62,6 +62,9 @@
 	if ev.Form == ListRequestFailed && s.settings.ListPushed {
 		s.listSaved = s.listSaved && !watchFailed
 		s.agentUnresponsive = ev.Unresponsive && !watchFailed
+		if s.agentUnresponsive {
+			s.agentSilentAt = s.now
+		}
 	} else {
 		s.listSaved = ev.Form == ListSaved && ev.Stale
 		s.agentUnresponsive = false
@@ -110,11 +113,12 @@
 	s.agentUnresponsive, s.unusableAnswerAt = false, max(s.now, 1)
 }
 
-// noteUnsentRequest records that a request could not be sent. From here on it is not known whether the
-// agent is still unresponsive, so its list counts as confirmed until now.
+// noteUnsentRequest records that a request could not be sent. Whether the agent is still unresponsive is
+// not known since its last request without an answer, until when the list counts as confirmed.
 func (s *Sender) noteUnsentRequest() {
 	if s.agentUnresponsive {
-		s.listConfirmedAt, s.agentUnresponsive = s.now, false
+		s.listConfirmedAt = max(s.listConfirmedAt, s.agentSilentAt)
+		s.agentUnresponsive = false
 	}
 	s.scheduleListRetry(false)
 }
--- a/logic/state.go
+++ b/logic/state.go
@@ -180,6 +180,7 @@
 	watchOpen         bool                 // changes of the list arrive as they happen
 	listSaved         bool                 // the list was saved before the start, and it may lack changes
 	agentUnresponsive bool                 // ListPushed: the last request to the agent got no answer at all
+	agentSilentAt     Micros               // when that request ended
 	listRequestUnsent bool                 // this host could not send the last request for the list
 	// When the first unusable answer since the last usable one arrived; 0 if there is none.
 	unusableAnswerAt      Micros
