--- a/internal/soak/system_calls.go
+++ b/internal/soak/system_calls.go
@@ -138,28 +138,10 @@
 // Faults of a sender's process together with faults of system calls.
 var (
 	killedInFolderFault = processFault{"SIGKILL while the folder fails, then start", 4 * time.Second, func(_ *Harness, s *managedSender, rng *rand.Rand) error {
-		fault, duration := randomFolderFault(rng), randomFolderFaultDuration(rng)
-		s.systemCalls.folder.Set(fault)
-		end := time.AfterFunc(duration, func() { s.systemCalls.folder.Set(syscallfault.FolderFault{}) })
-		defer end.Stop()
-		time.Sleep(time.Duration(rng.Int64N(int64(duration))))
-		s.kill()
-		time.Sleep(restartDelay)
-		err := s.startAndWait()
-		s.systemCalls.folder.Set(syscallfault.FolderFault{})
-		return err
+		return s.restartInFolderFault(rng, s.kill)
 	}}
 	terminatedInFolderFault = processFault{"SIGTERM while the folder fails, then start", stopTimeout + 3*time.Second, func(_ *Harness, s *managedSender, rng *rand.Rand) error {
-		duration := randomFolderFaultDuration(rng)
-		s.systemCalls.folder.Set(randomFolderFault(rng))
-		end := time.AfterFunc(duration, func() { s.systemCalls.folder.Set(syscallfault.FolderFault{}) })
-		defer end.Stop()
-		time.Sleep(time.Duration(rng.Int64N(int64(duration))))
-		s.stop(stopTimeout)
-		time.Sleep(restartDelay)
-		err := s.startAndWait()
-		s.systemCalls.folder.Set(syscallfault.FolderFault{})
-		return err
+		return s.restartInFolderFault(rng, func() { s.stop(stopTimeout) })
 	}}
 	clockSteppedInRestart = processFault{"SIGKILL, a step of the wall clock, then start", 2 * time.Second, func(_ *Harness, s *managedSender, rng *rand.Rand) error {
 		s.kill()
@@ -180,6 +162,20 @@
 	}}
 )
 
+// restartInFolderFault ends the process by end while its folder fails, and starts the next one, in whose start the fault
+// may last.
+func (s *managedSender) restartInFolderFault(rng *rand.Rand, end func()) error {
+	folder, duration := s.systemCalls.folder, randomFolderFaultDuration(rng)
+	folder.Set(randomFolderFault(rng))
+	faultEnd := time.AfterFunc(duration, func() { folder.Set(syscallfault.FolderFault{}) })
+	defer folder.Set(syscallfault.FolderFault{})
+	defer faultEnd.Stop()
+	time.Sleep(time.Duration(rng.Int64N(int64(duration))))
+	end()
+	time.Sleep(restartDelay)
+	return s.startAndWait()
+}
+
 // planSystemCallFaults lets calls for sockets fail, writes come late and posts of notices fail, for a while.
 func (p *Plan) planSystemCallFaults(h *Harness, sender *managedSender, rng *rand.Rand) {
 	for _, fault := range []struct {
