Post a notice again over the kept connection if no new one came up

Cause: every post after the first opened a connection, which half of the time failed, although an idle one was kept: only a post without an answer speaks against that one. Change: a notice avoids the kept connection once a post of it has got no answer or was reset, and not after a connection that did not come up.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -319,22 +319,17 @@
 // isUnresponsive reports whether a call failed because there was no answer: the connection was not established, or no
 // data came over it.
 func isUnresponsive(err error) bool {
-	return errors.Is(err, errUnresponsive) && !errors.Is(err, errUnreadable) || isDialError(err) && !isNotSent(err)
+	return errors.Is(err, errUnresponsive) && !errors.Is(err, errUnreadable) || neterror.IsDial(err) && !isNotSent(err)
 }
 
 // isNotSent reports whether this host could not open a connection for a call. Errors of the network count too: a call
 // that gets no answer is given up long before the system's own time for a connection is over, and an agent is on this
 // host.
 func isNotSent(err error) bool {
-	return isDialError(err) &&
+	return neterror.IsDial(err) &&
 		(neterror.IsLocal(err) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH))
 }
 
-func isDialError(err error) bool {
-	var opErr *net.OpError
-	return errors.As(err, &opErr) && opErr.Op == "dial"
-}
-
 // awaitAnswer makes a call and returns its answer. If the call is a watch, it reports when discovery has accepted it;
 // where lists are pushed, it also reports when an answer has begun and is slow to arrive.
 func (c *Client) awaitAnswer(ctx context.Context, url string, limit time.Duration, watch bool) (*answer, error) {
--- a/internal/neterror/neterror.go
+++ b/internal/neterror/neterror.go
@@ -3,6 +3,7 @@
 
 import (
 	"errors"
+	"net"
 	"slices"
 	"syscall"
 )
@@ -15,3 +16,9 @@
 func IsLocal(err error) bool {
 	return slices.ContainsFunc(localErrors, func(local error) bool { return errors.Is(err, local) })
 }
+
+// IsDial reports whether an error means that no connection was established.
+func IsDial(err error) bool {
+	var opErr *net.OpError
+	return errors.As(err, &opErr) && opErr.Op == "dial"
+}
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -20,6 +20,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"crossdeal/internal/neterror"
 )
 
 const (
@@ -42,8 +44,10 @@
 // queuedNotice is a notice that the platform has not confirmed.
 type queuedNotice struct {
 	Notice
-	posts  int       // made so far
-	postAt time.Time // when the next one is due
+	posts     int       // made so far
+	postAt    time.Time // when the next one is due
+	notSent   bool      // no connection came up for the last post
+	avoidKept bool      // a post got no answer, perhaps since the kept connection has fallen silent
 }
 
 // repeatDelay returns how long to wait before the next post: first, doubled with each post after the given number.
@@ -143,7 +147,7 @@
 }
 
 // nextPost returns the post of the oldest notices that are due, or how long to wait for one. The notices stay queued
-// until they are confirmed. Notices that were posted before go over a new connection.
+// until they are confirmed. Notices whose post may have reached a connection without an answer go over a new one.
 func (n *noticeQueue) nextPost(ctx context.Context, now time.Time) (*noticePost, time.Duration) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -160,10 +164,14 @@
 			continue
 		}
 		if q.posts > 0 {
-			post.client = n.fresh
 			n.counts.repeated++
+			q.avoidKept = q.avoidKept || !q.notSent
+		}
+		if q.avoidKept {
+			post.client = n.fresh
 		}
 		q.posts++
+		q.notSent = false
 		q.postAt = now.Add(q.repeatDelay(noticeFirstRepeat, noticeEqualRepeats))
 		if post.notices = append(post.notices, q.Notice); len(post.notices) == maxNoticesPerPost {
 			break
@@ -194,7 +202,7 @@
 		}
 	} else if ctx.Err() == nil {
 		n.log.Warn("notices", "err", err, "owed", n.pending())
-		n.retrySoon(post.notices, time.Now())
+		n.retrySoon(post.notices, err, time.Now())
 	}
 	n.mu.Lock()
 	n.inFlight = slices.DeleteFunc(n.inFlight, func(other *noticePost) bool { return other == post })
@@ -221,14 +229,14 @@
 }
 
 // retrySoon makes notices whose post has failed due soon.
-func (n *noticeQueue) retrySoon(failed []Notice, now time.Time) {
+func (n *noticeQueue) retrySoon(failed []Notice, err error, now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.counts.failed++
 	failedIDs := noticeIDs(failed)
 	for _, q := range n.queue {
 		if retryAt := now.Add(q.repeatDelay(noticeFirstRetry, noticeEqualRetries)); failedIDs[q.ID] && retryAt.Before(q.postAt) {
-			q.postAt = retryAt
+			q.postAt, q.notSent = retryAt, neterror.IsDial(err)
 		}
 	}
 }
