Count the agent's time for its first answer from the last request that was not sent

Change: at a start on a saved list, sends wait 0.3 s from the last request that this host could not send. Test: TestStartWaitsForRequestsThatWereNotSent fails without it (a send 0.6 s after the start).

--- a/logic/list_lease.go
+++ b/logic/list_lease.go
@@ -114,8 +114,12 @@
 }
 
 // noteUnsentRequest records that a request could not be sent. Whether the agent is still unresponsive is
-// not known since its last request without an answer, until when the list counts as confirmed.
+// not known since its last request without an answer, until when the list counts as confirmed. At a
+// start the agent's time for its first answer begins anew.
 func (s *Sender) noteUnsentRequest() {
+	if s.listSaved {
+		s.listConfirmedAt = s.now
+	}
 	if s.agentUnresponsive {
 		s.listConfirmedAt = max(s.listConfirmedAt, s.agentSilentAt)
 		s.agentUnresponsive = false
--- a/logic/pushed_list_test.go
+++ b/logic/pushed_list_test.go
@@ -106,6 +106,23 @@
 	}
 }
 
+// Guards against sends on a saved list while this host could not send the requests for a newer one: the agent's time for
+// its first answer counts from the last of them.
+func TestStartWaitsForRequestsThatWereNotSent(t *testing.T) {
+	notSent := ListUpdate{Form: ListRequestFailed, NotSent: true}
+	for at, want := range map[float64]int{0.6: 0, 0.7: 1} {
+		h := newSavedListHarness(t)
+		m := h.newMessage(0)
+		m.TimeLeft = Second
+		h.step(0.01, m)
+		h.step(0.1, notSent)
+		h.step(0.35, notSent)
+		if n := len(actionsOf[CallOut](h.step(at))); n != want {
+			t.Errorf("got %d sends %.2f s after the start, want %d", n, at, want)
+		}
+	}
+}
+
 // Guards against a message with little time left that is sent on the saved list before the agent can answer, because
 // half of its time is over sooner.
 func TestShortMessageWaitsForTheFirstAnswer(t *testing.T) {
