--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -145,7 +146,7 @@
 	kinds := []processFault{killed, terminated, terminated, terminatedTwice, terminatedAtStart, hangupAroundTerm, killedAfterAnswer,
 		killedTwice, suspended, upgraded, upgraded, moved, movedTwice}
 	if sender.systemCalls != nil {
-		kinds = append(kinds, killedInFolderFault, killedInFolderFault, terminatedInFolderFault, clockSteppedInRestart, clockSteppedInUpgrade, folderFault)
+		kinds = append(kinds, slices.Repeat(systemCallFaults, systemCallFaultWeight)...)
 	}
 	for at := 1500*time.Millisecond + time.Duration(rng.Int64N(int64(6*time.Second))); at < h.cfg.FaultPeriod; {
 		fault := kinds[rng.IntN(len(kinds))]
