--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"slices"
 	"sync"
 	"time"
 
@@ -146,7 +145,7 @@
 	kinds := []processFault{killed, terminated, terminated, terminatedTwice, terminatedAtStart, hangupAroundTerm, killedAfterAnswer,
 		killedTwice, suspended, upgraded, upgraded, moved, movedTwice}
 	if sender.systemCalls != nil {
-		kinds = append(kinds, slices.Repeat(systemCallFaults, systemCallFaultWeight)...)
+		kinds = append(kinds, killedInFolderFault, killedInFolderFault, terminatedInFolderFault, clockSteppedInRestart, clockSteppedInUpgrade, folderFault)
 	}
 	for at := 1500*time.Millisecond + time.Duration(rng.Int64N(int64(6*time.Second))); at < h.cfg.FaultPeriod; {
 		fault := kinds[rng.IntN(len(kinds))]
--- a/internal/soak/system_calls.go
+++ b/internal/soak/system_calls.go
@@ -126,7 +126,7 @@
 func randomFolderFault(rng *rand.Rand) syscallfault.FolderFault {
 	fault := syscallfault.FolderFault{Errno: folderErrors[rng.IntN(len(folderErrors))], Truncate: rng.IntN(2) == 0, Create: rng.IntN(2) == 0}
 	if rng.IntN(2) == 0 {
-		fault.Partial = 1 - rng.Float64()/2 // often whole records land before the rest fails
+		fault.Partial = rng.Float64()
 	}
 	return fault
 }
@@ -162,14 +162,6 @@
 	}}
 )
 
-// systemCallFaults are the faults of a process that need the filter.
-var systemCallFaults = []processFault{killedInFolderFault, killedInFolderFault, terminatedInFolderFault, clockSteppedInRestart,
-	clockSteppedInUpgrade, folderFault}
-
-// systemCallFaultWeight is how often each of systemCallFaults is among the faults that are drawn from, beside one or two of
-// the others.
-const systemCallFaultWeight = 3
-
 // restartInFolderFault ends the process by end while its folder fails, and starts the next one, in whose start the fault
 // may last.
 func (s *managedSender) restartInFolderFault(rng *rand.Rand, end func()) error {
