--- a/internal/node/transport_local_error_test.go
+++ b/internal/node/transport_local_error_test.go
@@ -1,12 +1,62 @@
 package node
 
 import (
+	"net"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
+
+	"crossdeal/logic"
 )
 
+// failingConn is a connection whose reads or writes fail.
+type failingConn struct {
+	net.Conn
+	readErr, writeErr error
+}
+
+func (c *failingConn) Read(b []byte) (int, error) {
+	if c.readErr != nil {
+		return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", c.readErr)}
+	}
+	return c.Conn.Read(b)
+}
+
+func (c *failingConn) Write(b []byte) (int, error) {
+	if c.writeErr != nil {
+		return 0, &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", c.writeErr)}
+	}
+	return c.Conn.Write(b)
+}
+
+// An error of a read is a broken connection, and one of a write a call that did not run, whatever the error says of a
+// timeout: only the call's own deadline gives it up.
+func TestSocketErrorIsNotTakenForTheDeadlineOfACall(t *testing.T) {
+	e, tr := newTestEndpoint(t), newTestTransport()
+	for _, errno := range []syscall.Errno{syscall.ETIMEDOUT, syscall.EHOSTUNREACH, syscall.ENETUNREACH, syscall.ECONNRESET, syscall.EPIPE,
+		syscall.ENOBUFS, syscall.ENOMEM, syscall.EIO} {
+		for want, conn := range map[logic.Outcome]*failingConn{
+			logic.ConnBroken:  {readErr: errno},
+			logic.ConnRefused: {writeErr: errno},
+		} {
+			var err error
+			if conn.Conn, err = net.Dial("tcp", e.addr()); err != nil {
+				t.Fatal(err)
+			}
+			outgoing := newTestCall(t, e.addr(), "hello", testTimeout)
+			outgoing.reusedConn = newEndpointConn(conn, e.addr())
+			if r := tr.do(t.Context(), outgoing); r.outcome != want {
+				t.Errorf("%v: outcome %d, want %d", errno, r.outcome, want)
+			}
+			if want == logic.ConnBroken {
+				await(t, e.calls, "call").reset()
+			}
+		}
+	}
+}
+
 // A transient connection error of this host is retried with a delay and not counted against the endpoint. The message
 // is sent once connections can be opened again.
 func TestLocalConnectErrorsAreRetriedAndNotCountedAgainstEndpoint(t *testing.T) {
