Answer no call with bytes that come behind the answer to an earlier one

Cause: an answer was matched with its call by its order on the connection alone.

A second 200 ended a message that had not run, a 410 dropped one, a 429 stopped a destination. A connection was used again at once, so bytes "straight after" an answer fell into the next call.

Change: package httpconn has the idle connections (moved from transport.go). A call whose connection is found unusable has not been written: the same attempt goes over another connection, with a new permission and record; the second opSend of an attempt without an outcome does not count as another try. The endpoint is not blamed. Such connections are counted ("extra_bytes") and the first 20 of a process logged with address, bytes and message.

TestIdleConnectionClosedDuringRequestIsNotRetried closed the connection before the first byte, where it is now noticed and replaced; it closes it in the write now, and TestIdleConnectionClosedBeforeRequestIsReplaced checks the earlier close: exactly one call, one permission.

--- a/internal/node/actions.go
+++ b/internal/node/actions.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"crossdeal/internal/httpconn"
 	"crossdeal/logic"
 )
 
@@ -22,8 +23,8 @@
 			n.pendingRecords = append(n.pendingRecords, record{Op: opAccept, Entry: &Entry{Message: m}})
 		}
 	}
-	idleConns := map[string]*endpointConn{} // idle connections that the calls of this step use
-	denied := map[string]bool{}             // calls that the guard has denied
+	idleConns := map[string]*httpconn.Conn{} // idle connections that the calls of this step use
+	denied := map[string]bool{}              // calls that the guard has denied
 	for _, a := range actions {
 		switch a := a.(type) {
 		case logic.CallOut:
@@ -31,7 +32,7 @@
 				denied[a.ID] = true
 				continue
 			}
-			if conn := n.transport.takeIdle(a.Endpoint, n.target(a.Endpoint).Address); conn != nil {
+			if conn := n.transport.idle.Take(a.Endpoint, n.target(a.Endpoint).Address); conn != nil {
 				idleConns[a.ID] = conn
 				n.pendingRecords = append(n.pendingRecords, n.sendRecord(a.ID, a.Endpoint))
 			} else {
@@ -86,7 +87,7 @@
 	time.AfterFunc(retryDelay, func() { n.events <- ev })
 }
 
-func (n *Node) executeAction(work context.Context, a logic.Action, answers map[string]string, idleConns map[string]*endpointConn, journaled bool) {
+func (n *Node) executeAction(work context.Context, a logic.Action, answers map[string]string, idleConns map[string]*httpconn.Conn, journaled bool) {
 	switch a := a.(type) {
 	case logic.CallOut:
 		n.startCall(work, a, idleConns[a.ID], journaled)
@@ -112,7 +113,7 @@
 	case logic.Probe:
 		n.probe(work, a.Endpoint)
 	case logic.Release:
-		n.transport.closeIdle(a.Endpoint)
+		n.transport.idle.CloseKey(a.Endpoint)
 	case logic.Listen:
 		n.watchList(work)
 	case logic.Log:
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"crossdeal/internal/httpconn"
 	"crossdeal/logic"
 )
 
@@ -45,10 +46,10 @@
 
 // startCall starts an attempt, on idleConn if there is one. If its record is not in the journal, it is reported as not
 // sent after retryDelay.
-func (n *Node) startCall(work context.Context, a logic.CallOut, idleConn *endpointConn, journaled bool) {
+func (n *Node) startCall(work context.Context, a logic.CallOut, idleConn *httpconn.Conn, journaled bool) {
 	h := n.held[a.ID]
-	if idleConn != nil && (h == nil || !journaled) && !n.transport.putIdle(a.Endpoint, idleConn) {
-		idleConn.Close()
+	if idleConn != nil && (h == nil || !journaled) {
+		n.transport.returnUnused(a.Endpoint, idleConn)
 	}
 	if h == nil { // never accepted; the decision logic still needs the one outcome of the attempt
 		n.nextEvents = append(n.nextEvents, logic.AttemptResult{ID: a.ID, MessageEnded: true, Endpoint: a.Endpoint, Outcome: logic.NotSent})
--- a/internal/node/client_close.go
+++ b/internal/node/client_close.go
@@ -7,6 +7,8 @@
 	"bytes"
 	"strings"
 	"time"
+
+	"crossdeal/internal/socket"
 )
 
 // rejectTimeout is for reading and rejecting the requests that have arrived when a connection is about to be closed.
@@ -50,7 +52,7 @@
 	if reason != closedByPeer && reason != closedUnwritten {
 		awaitAck(cc.Conn, nil)
 	}
-	unread := hasData(cc.Conn)
+	unread := socket.HasData(cc.Conn)
 	cc.Conn.Close()
 	cc.table.countClose(cc, reason, unread)
 }
@@ -81,7 +83,7 @@
 func (cc *clientConn) rejectPending() bool {
 	deadline := time.Now().Add(rejectTimeout)
 	cc.readLimit = availableBytes(cc.Conn)
-	for cc.reader.Buffered() > 0 || cc.readLimit != 0 && hasData(cc.Conn) {
+	for cc.reader.Buffered() > 0 || cc.readLimit != 0 && socket.HasData(cc.Conn) {
 		if !time.Now().Before(deadline) {
 			cc.readLimit = 0
 		}
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -10,6 +10,8 @@
 	"os"
 	"slices"
 	"time"
+
+	"crossdeal/internal/socket"
 )
 
 // connState is the state of a client connection.
@@ -110,7 +112,7 @@
 // It allows that for lastRequestTimeout from the first such read on, and not during a handover: the process
 // that owns the connection afterwards reads them.
 func (cc *clientConn) mayReadPastDeadline() bool {
-	if !hasData(cc.Conn) {
+	if !socket.HasData(cc.Conn) {
 		return false
 	}
 	cc.table.mu.Lock()
@@ -216,7 +218,7 @@
 	_, err := cc.reader.Peek(1)
 	if errors.Is(err, os.ErrDeadlineExceeded) && cc.table.isClosing() {
 		// A request may have arrived just before the deadline: it is answered, since its client expects that.
-		if !hasData(cc.Conn) {
+		if !socket.HasData(cc.Conn) {
 			return err
 		}
 		cc.SetReadDeadline(time.Now().Add(lastRequestTimeout))
--- a/internal/node/client_eviction_test.go
+++ b/internal/node/client_eviction_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"crossdeal/internal/httpconn"
 )
 
 // newSmallTable starts a client table for 16 connections and returns it and its address.
@@ -122,9 +124,9 @@
 		c.conns[served].hasServedRequest = true
 	}
 	e := newTestEndpoint(t)
-	tr := newTransport(time.Second, time.Minute, 100, 100)
+	tr := newTransport(time.Second, time.Minute, 100, 100, nil)
 	tr.clients = c
-	var conns []*endpointConn
+	var conns []*httpconn.Conn
 	for range maxCalls {
 		conn, err := tr.connect(t.Context(), &call{endpoint: 1, addr: e.addr(), mayWrite: func(context.Context) bool { return true }}, time.Now().Add(testTimeout))
 		if err != nil {
@@ -140,10 +142,10 @@
 	if err := tr.acquireDescriptor(ctx); err != errLocalFailure {
 		t.Errorf("one call too many: got %v, want errLocalFailure", err)
 	}
-	if !tr.putIdle(1, conns[0]) {
+	if tr.idle.Put(1, conns[0]); tr.idle.Len() != 1 {
 		t.Fatal("the connection was not put on the idle list")
 	}
-	if err := tr.acquireDescriptor(t.Context()); err != nil || tr.idleCount() != 0 {
+	if err := tr.acquireDescriptor(t.Context()); err != nil || tr.idle.Len() != 0 {
 		t.Errorf("in place of an idle connection: %v", err)
 	}
 	c.releaseCallDescriptor()
--- a/internal/node/concurrent_events_test.go
+++ b/internal/node/concurrent_events_test.go
@@ -16,21 +16,31 @@
 
 	"crossdeal/internal/clock"
 	"crossdeal/internal/discovery"
+	"crossdeal/internal/httpconn"
 	"crossdeal/logic"
 )
 
-// hookReader is a request body that calls a function after the connection is chosen and before a byte is written.
-type hookReader struct {
-	io.Reader
-	onFirstRead func()
+// hookConn is a connection that calls a function before each write.
+type hookConn struct {
+	*net.TCPConn
+	beforeWrite func()
 }
 
-func (r *hookReader) Read(b []byte) (int, error) {
-	if r.onFirstRead != nil {
-		r.onFirstRead()
-		r.onFirstRead = nil
+func (c *hookConn) Write(b []byte) (int, error) {
+	c.beforeWrite()
+	return c.TCPConn.Write(b)
+}
+
+// closeIdleConn closes or resets the endpoint's side of the one kept connection and waits until the sender can see that.
+func closeIdleConn(e *testEndpoint, kept *httpconn.Conn, reset bool) {
+	conn := (<-e.conns).(*net.TCPConn)
+	if reset {
+		conn.SetLinger(0)
+	}
+	conn.Close()
+	for stop := time.Now().Add(testTimeout); kept.Check() == nil && time.Now().Before(stop); {
+		time.Sleep(time.Millisecond)
 	}
-	return r.Reader.Read(b)
 }
 
 // An endpoint closes or resets an idle connection while a request is being written on it. After a close the whole
@@ -41,23 +51,10 @@
 		got := doInBackground(t.Context(), tr, newTestCall(t, e.addr(), "hello", testTimeout))
 		await(t, e.calls, "call").reply(200)
 		await(t, got, "result")
-		conn := (<-e.conns).(*net.TCPConn)
-		tr.mu.Lock()
-		idle := tr.idle[1][0]
-		tr.mu.Unlock()
-		outgoing := newTestCall(t, e.addr(), "hello", testTimeout)
-		outgoing.request.Body = io.NopCloser(&hookReader{strings.NewReader("hello"), func() {
-			if reset {
-				conn.SetLinger(0)
-			}
-			conn.Close()
-			for stop := time.Now().Add(testTimeout); ; { // until the close is visible
-				if alive, _ := peekConn(idle.Conn); !alive || time.Now().After(stop) {
-					break
-				}
-			}
-		}})
-		r := tr.do(t.Context(), outgoing)
+		kept := keptConn(t, tr)
+		kept.Conn = &hookConn{kept.Conn.(*net.TCPConn), func() { closeIdleConn(e, kept, reset) }}
+		time.Sleep(httpconn.ReuseDelay)
+		r := tr.do(t.Context(), newTestCall(t, e.addr(), "hello", testTimeout))
 		if !reset && r.outcome != logic.ConnBroken || reset && r.outcome != logic.ConnRefused {
 			t.Errorf("reset %v: got %+v", reset, r) // a reset is visible before the write, so nothing is written
 		}
@@ -68,6 +65,29 @@
 	}
 }
 
+// An idle connection that is found closed before the first byte of a call is replaced: the call runs once, and the
+// endpoint is not blamed.
+func TestIdleConnectionClosedBeforeRequestIsReplaced(t *testing.T) {
+	for _, reset := range []bool{false, true} {
+		e, tr := newTestEndpoint(t), newTestTransport()
+		got := doInBackground(t.Context(), tr, newTestCall(t, e.addr(), "hello", testTimeout))
+		await(t, e.calls, "call").reply(200)
+		await(t, got, "result")
+		time.Sleep(httpconn.ReuseDelay)
+		outgoing := newTestCall(t, e.addr(), "hello", testTimeout)
+		outgoing.reusedConn = tr.idle.Take(outgoing.endpoint, outgoing.addr)
+		permissions := 0
+		outgoing.mayWrite = func(context.Context) bool { permissions++; return true }
+		closeIdleConn(e, outgoing.reusedConn, reset)
+		got = doInBackground(t.Context(), tr, outgoing)
+		await(t, e.calls, "call on another connection").reply(200)
+		if r := await(t, got, "result"); r.outcome != logic.Completed || permissions != 1 {
+			t.Errorf("reset %v: got %+v after %d permissions, want Completed after 1", reset, r, permissions)
+		}
+		e.expectNoCall(t)
+	}
+}
+
 // A call that was decided before the end of its message, and would be written after it on an idle connection, is not
 // sent.
 func TestCallIsNotSentAfterMessageEnd(t *testing.T) {
@@ -75,9 +95,12 @@
 	got := doInBackground(t.Context(), tr, newTestCall(t, e.addr(), "hello", testTimeout))
 	await(t, e.calls, "call").reply(200)
 	await(t, got, "result")
+	time.Sleep(httpconn.ReuseDelay)
 	for range 50 {
 		outgoing := newTestCall(t, e.addr(), "hello", testTimeout)
-		outgoing.reusedConn = tr.takeIdle(outgoing.endpoint, outgoing.addr)
+		if outgoing.reusedConn = tr.idle.Take(outgoing.endpoint, outgoing.addr); outgoing.reusedConn == nil {
+			t.Fatal("no idle connection")
+		}
 		ctx, stop := context.WithCancelCause(t.Context())
 		h := &heldMessage{message: &Message{ID: outgoing.id}, call: outgoing, cancelCall: stop}
 		n := &Node{held: map[string]*heldMessage{outgoing.id: h}, openMessages: 1, recentIDs: map[string]time.Time{}, clock: clock.New()}
@@ -97,9 +120,12 @@
 	await(t, got, "result")
 	ctx, cancel := context.WithCancel(t.Context())
 	cancel()
+	time.Sleep(httpconn.ReuseDelay)
 	for range 50 {
 		outgoing := newTestCall(t, e.addr(), "hello", testTimeout)
-		outgoing.reusedConn = tr.takeIdle(outgoing.endpoint, outgoing.addr)
+		if outgoing.reusedConn = tr.idle.Take(outgoing.endpoint, outgoing.addr); outgoing.reusedConn == nil {
+			t.Fatal("no idle connection")
+		}
 		if r := tr.do(ctx, outgoing); r.outcome != logic.NotSent {
 			t.Fatalf("got %+v", r)
 		}
@@ -150,7 +176,7 @@
 		if r := await(t, got, "result"); r.outcome != x.want {
 			t.Errorf("%q followed by %q without end: outcome %d, want %d", x.begin, x.repeated, r.outcome, x.want)
 		}
-		if tr.idleCount() != 0 {
+		if tr.idle.Len() != 0 {
 			t.Errorf("%q: connection is kept", x.begin)
 		}
 	}
--- a/internal/node/extra_answer_process_test.go
+++ b/internal/node/extra_answer_process_test.go
@@ -40,7 +40,7 @@
 			c.put("first", "unsafe", "+OK")
 			first := await(t, r.endpoint.calls, "call")
 			first.reply(200)
-			time.Sleep(300 * time.Millisecond) // its connection is kept
+			time.Sleep(reusableAfter)
 			r.writeDelay.Store(int64(100 * time.Millisecond))
 			c.send("MSG.PUT", "0000", "next", "c=unsafe,t=acme,d=3000,dest=1", "body")
 			time.Sleep(50 * time.Millisecond)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -42,6 +42,7 @@
 	"syscall"
 	"time"
 
+	"crossdeal/internal/httpconn"
 	"crossdeal/logic"
 )
 
@@ -271,8 +272,8 @@
 
 // transferConns are the connections that go with a state transfer.
 type transferConns struct {
-	calls         []*endpointConn
-	idle          []*endpointConn
+	calls         []*httpconn.Conn
+	idle          []*httpconn.Conn
 	idleEndpoints []logic.EndpointID
 	clients       []net.Conn
 	callMessages  []*heldMessage // the messages of calls, in the same order
@@ -309,7 +310,7 @@
 		state.Held = append(state.Held, transferHeld{id, h.attempts, h.ended, h.message.Deadline})
 		if h.parkedConn != nil {
 			call := h.call
-			received, _ := h.parkedConn.reader.Peek(h.parkedConn.reader.Buffered())
+			received, _ := h.parkedConn.Reader.Peek(h.parkedConn.Reader.Buffered())
 			state.Calls = append(state.Calls, transferCall{id, call.attempt, call.endpoint, n.clock.Micros(call.startedAt),
 				n.clock.Micros(call.startedAt.Add(call.timeout)), received})
 			conns.calls, conns.callMessages = append(conns.calls, h.parkedConn), append(conns.callMessages, h)
@@ -320,14 +321,14 @@
 	sent := max(min(len(parked), descriptorsLeft), 0)
 	conns.clients, state.Clients = parked[:sent], states[:sent]
 	descriptorsLeft -= sent
-	for endpoint, list := range n.transport.takeAllIdle() {
+	for endpoint, list := range n.transport.idle.TakeAll() {
 		for _, conn := range list {
 			if descriptorsLeft--; descriptorsLeft < 0 {
 				conn.Close()
 				continue
 			}
 			conns.idle, conns.idleEndpoints = append(conns.idle, conn), append(conns.idleEndpoints, endpoint)
-			state.Idle = append(state.Idle, transferIdle{endpoint, n.clock.Micros(conn.idleSince)})
+			state.Idle = append(state.Idle, transferIdle{endpoint, n.clock.Micros(conn.IdleSince())})
 		}
 	}
 	return state, conns, parked[sent:]
@@ -346,7 +347,7 @@
 	}
 	fds := []int{int(n.lockFile.Fd())}
 	sockets := []syscall.Conn{n.listener.(*net.TCPListener)}
-	for _, list := range [][]*endpointConn{conns.calls, conns.idle} {
+	for _, list := range [][]*httpconn.Conn{conns.calls, conns.idle} {
 		for _, x := range list {
 			sockets = append(sockets, x.Conn.(syscall.Conn))
 		}
@@ -422,9 +423,7 @@
 		n.resumeCall(work, h, conns.calls[i])
 	}
 	for i, conn := range conns.idle {
-		if !n.transport.putIdle(conns.idleEndpoints[i], conn) {
-			conn.Close()
-		}
+		n.transport.idle.Return(conns.idleEndpoints[i], conn)
 	}
 	n.listener.(*net.TCPListener).SetDeadline(time.Time{})
 	n.clients.unfreeze(append(conns.clients, unsent...))
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -53,6 +53,7 @@
 	expectOperatorAnswer(t, old.adminAddr, "disable-server s-9", "fail no such endpoint")
 	c.put("a", "unsafe", "+OK") // a known id, so not accepted again
 	in.reply(200)
+	time.Sleep(reusableAfter)
 	c.put("b", "unsafe", "+OK") // on the connection that the old process had accepted
 	second := await(t, e.calls, "call of the new process")
 	if second.id() != "b" || second.conn.RemoteAddr().String() != in.conn.RemoteAddr().String() {
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -19,11 +19,15 @@
 	"time"
 
 	"crossdeal/internal/discovery"
+	"crossdeal/internal/httpconn"
 )
 
 // testTimeout bounds every wait for an event. It is reached only if a test fails.
 const testTimeout = 20 * time.Second
 
+// reusableAfter is the time from an endpoint's answer until a sender in another process uses the connection again.
+const reusableAfter = httpconn.ReuseDelay + 250*time.Millisecond
+
 // await returns the next value of ch. what names it in failures.
 func await[T any](t *testing.T, ch <-chan T, what string) T {
 	t.Helper()
--- a/internal/node/journal_record.go
+++ b/internal/node/journal_record.go
@@ -126,7 +126,7 @@
 		e.Attempts++
 		e.Connecting = true
 	case opSend:
-		if !e.Connecting {
+		if !e.Connecting && !e.MaybeWritten { // otherwise it is the same attempt, on another connection
 			e.Attempts++
 		}
 		e.Connecting, e.MaybeWritten = false, true
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -74,7 +74,7 @@
 				n.nextEvents = append(n.nextEvents, logic.DiscoveryMoved{})
 			}
 		case <-sweep.C:
-			n.transport.closeStale()
+			n.transport.idle.CloseStale()
 			n.forgetExpired()
 			if sweeps++; sweeps%sweepsPerCountLog == 0 {
 				n.logCounts()
@@ -120,7 +120,7 @@
 // logCounts logs the counters of calls and what is held, unless no event of a call was counted since the last line.
 func (n *Node) logCounts() {
 	if counts := n.transport.takeCounts(); len(counts) > 0 {
-		counts = append(counts, "idle", n.transport.idleCount(), "open", n.openMessages, "owed", len(n.journal.entries))
+		counts = append(counts, "extra_bytes", n.extraBytes.TakeCount(), "idle", n.transport.idle.Len(), "open", n.openMessages, "owed", len(n.journal.entries))
 		counts = append(counts, n.clients.takeCounts()...)
 		counts = append(counts, n.notices.takeCounts()...)
 		n.log.Info("calls", append(counts, n.guard.countAttrs()...)...)
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"crossdeal/internal/httpconn"
 	"crossdeal/logic"
 )
 
@@ -21,7 +22,7 @@
 	ended      bool                    // the message has ended; an attempt is still in flight
 	cancelCall context.CancelCauseFunc // cancels the attempt in flight; nil if there is none
 	call       *call                   // the attempt in flight
-	parkedConn *endpointConn           // the attempt's connection, once it is parked for another process
+	parkedConn *httpconn.Conn          // the attempt's connection, once it is parked for another process
 }
 
 // newMessageEvent returns the event that passes a message to the decision logic.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 
 	"crossdeal/internal/clock"
 	"crossdeal/internal/discovery"
+	"crossdeal/internal/httpconn"
 	"crossdeal/logic"
 )
 
@@ -47,6 +48,7 @@
 	clock            *clock.Clock
 	trace            *tracer
 	guard            *guard
+	extraBytes       *httpconn.ExtraBytesLog
 	directory        *discovery.Directory
 	listStore        *discovery.Store
 	watcher          listWatcher
@@ -97,7 +99,7 @@
 	if n.sender, err = logic.New(*settings, cfg.Seed); err != nil {
 		return nil, err
 	}
-	n.transport = newTransport(toDuration(cfg.Deployment.ConnectTimeout), toDuration(settings.ConnIdle), settings.Slots, n.maxDescriptors/4)
+	n.transport = newTransport(toDuration(cfg.Deployment.ConnectTimeout), toDuration(settings.ConnIdle), settings.Slots, n.maxDescriptors/4, n.extraBytes.Report)
 	n.transport.clients = n.clients
 	n.listStore = discovery.OpenStore(cfg.StateDir, cfg.Limits.listStoreBytes(), log)
 	n.watcher = n.newDiscoveryClient()
@@ -120,6 +122,7 @@
 // newNode makes a sender with its channels and tables, its client server and its admin server.
 func newNode(cfg *Config, log *slog.Logger) *Node {
 	n := &Node{cfg: cfg, log: log, clockOrigin: time.Now(),
+		extraBytes:     httpconn.NewExtraBytesLog(log),
 		directory:      discovery.NewDirectory(cfg.Deployment.Zones, cfg.Deployment.Settings.Kinds),
 		events:         make(chan any, eventBufferSize),
 		commands:       make(chan operatorCommand),
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"crossdeal/internal/discovery"
+	"crossdeal/internal/socket"
 	"crossdeal/logic"
 )
 
@@ -533,7 +534,7 @@
 	defer conn.Close()
 	c.send("PING")
 	for stop := time.Now().Add(testTimeout); ; {
-		if _, data := peekConn(conn); data {
+		if _, data := socket.Peek(conn); data {
 			break
 		}
 		if time.Now().After(stop) {
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"crossdeal/internal/discovery"
+	"crossdeal/internal/httpconn"
 	"crossdeal/logic"
 )
 
@@ -31,7 +32,7 @@
 }
 
 // resumeCall waits for the response to a call that was parked.
-func (n *Node) resumeCall(work context.Context, h *heldMessage, conn *endpointConn) {
+func (n *Node) resumeCall(work context.Context, h *heldMessage, conn *httpconn.Conn) {
 	ctx, cancel := context.WithCancelCause(work)
 	h.cancelCall = cancel
 	c := h.call
@@ -273,17 +274,16 @@
 			h.cancelCall = func(error) {}
 			n.handleEvent(replyEvent{h.call, callResult{outcome: logic.ConnBroken}, time.Since(h.call.startedAt)})
 		} else {
-			n.resumeCall(work, h, newEndpointConnWithData(conns[0], h.call.addr, x.Got))
+			n.resumeCall(work, h, httpconn.NewConnWithData(conns[0], h.call.addr, x.Got))
 		}
 		conns = conns[1:]
 	}
 	for _, x := range t.Idle {
 		if conn := conns[0]; conn != nil {
-			idleConn := newEndpointConn(conn, n.target(x.Endpoint).Address)
-			if !n.transport.putIdle(x.Endpoint, idleConn) {
-				conn.Close()
-			}
-			idleConn.idleSince = n.clock.Time(x.Since)
+			idleConn := httpconn.NewConn(conn, n.target(x.Endpoint).Address)
+			idleConn.SetIdleSince(n.clock.Time(x.Since))
+			n.transport.countConn(idleConn)
+			n.transport.idle.Return(x.Endpoint, idleConn)
 		}
 		conns = conns[1:]
 	}
--- a/internal/node/transfer_test.go
+++ b/internal/node/transfer_test.go
@@ -159,6 +159,7 @@
 		t.Errorf("new process listens at %s, want %s", n.addr, ln.Addr())
 	}
 	inFlight.reply(200)
+	time.Sleep(reusableAfter)
 	c.put("out", "unsafe", "+OK") // a known id
 	c.put("new", "unsafe", "+OK")
 	next := await(t, a.calls, "call on the connection that was handed over")
--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -18,16 +18,16 @@
 	"sync/atomic"
 	"time"
 
+	"crossdeal/internal/httpconn"
 	"crossdeal/internal/neterror"
 	"crossdeal/logic"
 )
 
 const (
-	maxResponseBytes = 64 << 10               // head and body of a response together
-	headerTimeout    = time.Second            // for the rest of a response's head, once its first byte is there
-	bodyTimeout      = 20 * time.Millisecond  // for reading its body; a connection that is slower is not reused
-	cancelLingerTime = 50 * time.Millisecond  // for the endpoint to notice that a call is abandoned
-	idleExpiryMargin = 500 * time.Millisecond // a connection is not reused this close to the end of its idle timeout
+	maxResponseBytes = 64 << 10              // head and body of a response together
+	headerTimeout    = time.Second           // for the rest of a response's head, once its first byte is there
+	bodyTimeout      = 20 * time.Millisecond // for reading its body; a connection that is slower is not reused
+	cancelLingerTime = 50 * time.Millisecond // for the endpoint to notice that a call is abandoned
 	probeTimeout     = 1500 * time.Millisecond
 )
 
@@ -43,7 +43,7 @@
 	writeDeadline time.Time // the request is not written after this; zero for no limit
 	request       *http.Request
 	state         *atomic.Int32
-	reusedConn    *endpointConn                  // the connection to use; nil to open one
+	reusedConn    *httpconn.Conn                 // the connection to use; nil to open one
 	mayWrite      func(ctx context.Context) bool // asked once a new connection is up; nil: no permission needed
 }
 
@@ -67,54 +67,44 @@
 // connection. It says nothing about the endpoint.
 var errLocalFailure = errors.New("this host cannot open a connection")
 
-// callResult is how a call ended.
-type callResult struct {
-	outcome      logic.Outcome
-	retryAfter   time.Duration // requested by the endpoint with a rejection
-	messageEnded bool          // the endpoint reports that the message has ended
-	loadReport   string        // the endpoint's load report as the response has it, unparsed
-	parkedConn   *endpointConn // parked, with no outcome yet: whoever resumes the call gets it
-}
+// errNotPermitted means that a call must not be written, although its connection is up.
+var errNotPermitted = errors.New("the call must not be written any more")
 
-// endpointConn is a connection to an endpoint.
-type endpointConn struct {
-	net.Conn
-	reader    *bufio.Reader
-	readLimit *io.LimitedReader
-	addr      string
-	idleSince time.Time
-	countedBy atomic.Pointer[clients] // the table that counts its descriptor until it is closed
+// name identifies the call in the log.
+func (c *call) name() string {
+	if c.id == "" {
+		return "a probe"
+	}
+	return c.id
 }
 
-// Close closes the connection and releases its descriptor. Only the first call releases it.
-func (conn *endpointConn) Close() error {
-	err := conn.Conn.Close()
-	if counter := conn.countedBy.Swap(nil); counter != nil {
-		counter.releaseCallDescriptor()
-	}
-	return err
+// callResult is how a call ended.
+type callResult struct {
+	outcome      logic.Outcome
+	retryAfter   time.Duration  // requested by the endpoint with a rejection
+	messageEnded bool           // the endpoint reports that the message has ended
+	loadReport   string         // the endpoint's load report as the response has it, unparsed
+	parkedConn   *httpconn.Conn // parked, with no outcome yet: whoever resumes the call gets it
 }
 
 // transport makes calls over pooled connections. It never sends a request twice, and it knows whether the last byte of
 // a request was written: this separates calls that the endpoint cannot have processed from those that it may have
 // processed. net/http's transport does neither.
 type transport struct {
-	dialer             net.Dialer
-	linger             time.Duration
-	idleTimeout        time.Duration
-	maxIdlePerEndpoint int
-	maxIdle            int      // idle connections in all
-	clients            *clients // counts the descriptors shared with client connections; nil: no bound
-	mu                 sync.Mutex
-	idle               map[logic.EndpointID][]*endpointConn
-	idleTotal          int
-	counts             map[string]int // events of calls since the last report; a few fixed names
+	dialer  net.Dialer
+	linger  time.Duration
+	idle    *httpconn.Pool[logic.EndpointID]
+	clients *clients // counts the descriptors shared with client connections; nil: no bound
+	mu      sync.Mutex
+	counts  map[string]int // events of calls since the last report; a few fixed names
 }
 
-func newTransport(connectTimeout, idleTimeout time.Duration, maxIdlePerEndpoint, maxIdle int) *transport {
-	return &transport{dialer: net.Dialer{Timeout: connectTimeout}, linger: cancelLingerTime, idleTimeout: idleTimeout,
-		maxIdlePerEndpoint: max(maxIdlePerEndpoint, 1), maxIdle: max(maxIdle, 1),
-		idle: map[logic.EndpointID][]*endpointConn{}, counts: map[string]int{}}
+// newTransport returns a transport. onExtraBytes is called for each connection that is closed for what came behind an
+// answer; nil for none.
+func newTransport(connectTimeout, idleTimeout time.Duration, maxIdlePerEndpoint, maxIdle int, onExtraBytes func(*httpconn.ExtraBytesError)) *transport {
+	return &transport{dialer: net.Dialer{Timeout: connectTimeout}, linger: cancelLingerTime, counts: map[string]int{},
+		idle: httpconn.NewPool[logic.EndpointID](httpconn.PoolConfig{IdleTimeout: idleTimeout, MaxPerKey: maxIdlePerEndpoint, Max: maxIdle,
+			OnExtraBytes: onExtraBytes})}
 }
 
 // countEvent counts an event of a call for the "calls" log line.
@@ -139,11 +129,15 @@
 // do makes a call and returns its result. Cancelling ctx cancels the call.
 func (t *transport) do(ctx context.Context, c *call) callResult {
 	deadline := c.startedAt.Add(c.timeout)
-	conn, err := t.connect(ctx, c, deadline)
-	if errors.Is(err, errLocalFailure) { // which is no failure of the endpoint
-		c.state.CompareAndSwap(callConnecting, callWithheld)
+	encoded, err := httpconn.Encode(c.request)
+	if err != nil {
+		if c.reusedConn != nil {
+			t.returnUnused(c.endpoint, c.reusedConn)
+		}
+		return callResult{outcome: logic.ConnRefused}
 	}
-	if err == nil && conn != c.reusedConn && c.mayWrite != nil && !c.mayWrite(ctx) {
+	conn, err := t.connect(ctx, c, deadline)
+	if errors.Is(err, errLocalFailure) || errors.Is(err, errNotPermitted) { // which is no failure of the endpoint
 		c.state.CompareAndSwap(callConnecting, callWithheld)
 	}
 	tooLate := !c.writeDeadline.IsZero() && time.Now().After(c.writeDeadline)
@@ -151,8 +145,8 @@
 		c.state.CompareAndSwap(callConnecting, callWithheld)
 	}
 	if !c.state.CompareAndSwap(callConnecting, callWritten) {
-		if err == nil && !t.putIdle(c.endpoint, conn) {
-			conn.Close()
+		if conn != nil {
+			t.returnUnused(c.endpoint, conn)
 		}
 		return callResult{outcome: logic.NotSent}
 	}
@@ -161,14 +155,8 @@
 		return callResult{outcome: logic.ConnRefused}
 	}
 	conn.SetDeadline(deadline)
-	stopInterrupt := interruptOnCancel(ctx, conn)
-	var buf bytes.Buffer
-	if err := c.request.Write(&buf); err != nil {
-		stopInterrupt()
-		conn.Close()
-		return callResult{outcome: logic.ConnRefused}
-	}
-	_, err = conn.Write(buf.Bytes())
+	stopInterrupt := conn.InterruptOnCancel(ctx)
+	err = conn.Send(encoded, c.name())
 	stopInterrupt()
 	if err != nil {
 		conn.Close()
@@ -179,34 +167,31 @@
 	return t.awaitResponse(ctx, c, conn, deadline)
 }
 
-// interruptOnCancel makes reads and writes on conn fail with a timeout once ctx is cancelled, until the returned
-// function has been called.
-func interruptOnCancel(ctx context.Context, conn net.Conn) (stopInterrupt func()) {
-	interrupted := make(chan struct{})
-	stop := context.AfterFunc(ctx, func() {
-		conn.SetDeadline(time.Unix(1, 0))
-		close(interrupted)
-	})
-	return func() {
-		if !stop() {
-			<-interrupted
-		}
+// returnUnused keeps a connection to which no request was written since it was opened or taken.
+func (t *transport) returnUnused(endpoint logic.EndpointID, conn *httpconn.Conn) {
+	if conn.IdleSince().IsZero() {
+		conn.SetIdleSince(time.Now())
 	}
+	t.idle.Return(endpoint, conn)
 }
 
 // awaitResponse waits for the response to a call that has been written.
-func (t *transport) awaitResponse(ctx context.Context, c *call, conn *endpointConn, deadline time.Time) (r callResult) {
+func (t *transport) awaitResponse(ctx context.Context, c *call, conn *httpconn.Conn, deadline time.Time) (r callResult) {
 	t.countConn(conn)
 	reusable := false
 	defer func() {
-		if r.parkedConn == nil && (!reusable || !t.putIdle(c.endpoint, conn)) {
+		switch {
+		case r.parkedConn != nil:
+		case reusable:
+			t.idle.Put(c.endpoint, conn)
+		default:
 			conn.Close()
 		}
 	}()
 	conn.SetDeadline(deadline)
-	stopInterrupt := interruptOnCancel(ctx, conn)
-	conn.readLimit.N = maxResponseBytes
-	_, err := conn.reader.Peek(1)
+	stopInterrupt := conn.InterruptOnCancel(ctx)
+	conn.LimitBytes(maxResponseBytes)
+	_, err := conn.Reader.Peek(1)
 	stopInterrupt()
 	if isTimeout(err) && errors.Is(context.Cause(ctx), errParked) && time.Now().Before(deadline) {
 		return callResult{parkedConn: conn}
@@ -223,7 +208,7 @@
 			tcp.CloseWrite()
 		}
 		conn.SetDeadline(time.Now().Add(t.linger))
-		_, err = conn.reader.Peek(1)
+		_, err = conn.Reader.Peek(1)
 	}
 	if err != nil {
 		t.countEvent(unansweredCountNames[failure])
@@ -239,11 +224,11 @@
 			conn.SetDeadline(time.Now().Add(t.linger))
 		}
 	}
-	delivered := peekStatusOK(conn.reader)
-	resp, err := http.ReadResponse(conn.reader, c.request)
+	delivered := peekStatusOK(conn.Reader)
+	resp, err := http.ReadResponse(conn.Reader, c.request)
 	for err == nil && resp.StatusCode/100 == 1 && resp.StatusCode != http.StatusSwitchingProtocols {
-		delivered = peekStatusOK(conn.reader)
-		resp, err = http.ReadResponse(conn.reader, c.request) // an interim (1xx) response; the final one follows
+		delivered = peekStatusOK(conn.Reader)
+		resp, err = http.ReadResponse(conn.Reader, c.request) // an interim (1xx) response; the final one follows
 	}
 	if err != nil && delivered {
 		t.countEvent("unreadable_200")
@@ -265,16 +250,16 @@
 // awaitHeader waits until the head of a response is buffered, or the connection fails, without consuming any of it. It
 // returns true if the call is parked meanwhile. A response that has begun may take up to headerTimeout, and a handover
 // must not wait for that.
-func (t *transport) awaitHeader(ctx context.Context, conn *endpointConn) bool {
+func (t *transport) awaitHeader(ctx context.Context, conn *httpconn.Conn) bool {
 	deadline := time.Now().Add(headerTimeout)
-	stopInterrupt := interruptOnCancel(ctx, conn)
+	stopInterrupt := conn.InterruptOnCancel(ctx)
 	var err error
 	for err == nil {
-		b, _ := conn.reader.Peek(conn.reader.Buffered())
-		if bytes.Contains(b, []byte("\r\n\r\n")) || len(b) == conn.reader.Size() {
+		b, _ := conn.Reader.Peek(conn.Reader.Buffered())
+		if bytes.Contains(b, []byte("\r\n\r\n")) || len(b) == conn.Reader.Size() {
 			break
 		}
-		_, err = conn.reader.Peek(len(b) + 1)
+		_, err = conn.Reader.Peek(len(b) + 1)
 	}
 	stopInterrupt()
 	conn.SetDeadline(deadline)
@@ -291,28 +276,42 @@
 	return err != nil || b[len(line)] == ' ' || b[len(line)] == '\r' || b[len(line)] == '\n'
 }
 
-// connect returns the connection that the call was given, or opens one. A call that needs no write permission takes an
-// idle connection if there is one.
-func (t *transport) connect(ctx context.Context, c *call, deadline time.Time) (*endpointConn, error) {
-	existing := c.reusedConn
-	if existing == nil && c.mayWrite == nil {
-		existing = t.takeIdle(c.endpoint, c.addr)
-	}
-	if existing != nil {
+// connect returns a connection to which the call may be written: the one that it was given if that can still be used,
+// or a new one. A call without one that needs no write permission takes an idle connection if there is one.
+func (t *transport) connect(ctx context.Context, c *call, deadline time.Time) (*httpconn.Conn, error) {
+	if c.reusedConn != nil && t.idle.Recheck(c.reusedConn) {
 		t.countEvent("reused")
-		return existing, nil
+		return c.reusedConn, nil
+	}
+	if c.reusedConn != nil {
+		t.countEvent("replaced")
+	}
+	if c.mayWrite == nil {
+		if idle := t.idle.Take(c.endpoint, c.addr); idle != nil {
+			t.countEvent("reused")
+			return idle, nil
+		}
+	}
+	conn, err := t.dial(ctx, c.addr, deadline)
+	if err == nil && c.mayWrite != nil && !c.mayWrite(ctx) {
+		return conn, errNotPermitted
 	}
+	return conn, err
+}
+
+// dial opens a connection.
+func (t *transport) dial(ctx context.Context, addr string, deadline time.Time) (*httpconn.Conn, error) {
 	t.countEvent("dialed")
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if err := t.acquireDescriptor(ctx); err != nil {
 		return nil, err
 	}
-	dialed, err := t.dialer.DialContext(ctx, "tcp", c.addr)
+	dialed, err := t.dialer.DialContext(ctx, "tcp", addr)
 	for neterror.IsLocal(err) && ctx.Err() == nil { // nothing was sent, so this is still the same attempt
 		t.countEvent("local_failure")
 		sleepContext(ctx, localRetryDelay)
-		dialed, err = t.dialer.DialContext(ctx, "tcp", c.addr)
+		dialed, err = t.dialer.DialContext(ctx, "tcp", addr)
 	}
 	if err != nil {
 		if t.clients != nil {
@@ -323,8 +322,10 @@
 		}
 		return nil, err
 	}
-	conn := newEndpointConn(dialed, c.addr)
-	conn.countedBy.Store(t.clients)
+	conn := httpconn.NewConn(dialed, addr)
+	if t.clients != nil {
+		conn.SetOnClose(t.clients.releaseCallDescriptor)
+	}
 	return conn, nil
 }
 
@@ -347,7 +348,7 @@
 		if time.Since(startedAt) > stallTimeout {
 			maxRank = evictionRankNew
 		}
-		if t.closeOldestIdle() {
+		if t.idle.CloseOldest() {
 			continue
 		}
 		select {
@@ -360,52 +361,22 @@
 	return nil
 }
 
-// closeOldestIdle closes the connection that has been idle longest; false if there is none.
-func (t *transport) closeOldestIdle() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var oldestEndpoint logic.EndpointID
-	var oldest *endpointConn
-	for endpoint, list := range t.idle {
-		if len(list) > 0 && (oldest == nil || list[0].idleSince.Before(oldest.idleSince)) {
-			oldestEndpoint, oldest = endpoint, list[0]
-		}
-	}
-	if oldest == nil {
-		return false
-	}
-	t.idle[oldestEndpoint] = t.idle[oldestEndpoint][1:]
-	t.idleTotal--
-	oldest.Close()
-	return true
-}
-
 // countConn counts the descriptor of a connection that another process has handed over. Those of other connections are
 // counted already.
-func (t *transport) countConn(conn *endpointConn) {
-	if t.clients != nil && conn.countedBy.CompareAndSwap(nil, t.clients) {
+func (t *transport) countConn(conn *httpconn.Conn) {
+	if t.clients != nil && conn.SetOnClose(t.clients.releaseCallDescriptor) {
 		t.clients.addCallDescriptor()
 	}
 }
 
-func newEndpointConn(conn net.Conn, addr string) *endpointConn {
-	return newEndpointConnWithData(conn, addr, nil)
-}
-
-// newEndpointConnWithData returns a connection on which a part of a response has been received already.
-func newEndpointConnWithData(conn net.Conn, addr string, received []byte) *endpointConn {
-	limit := &io.LimitedReader{R: io.MultiReader(bytes.NewReader(received), conn)}
-	return &endpointConn{Conn: conn, reader: bufio.NewReader(limit), readLimit: limit, addr: addr}
-}
-
-// drainBody reads the rest of a response and reports whether the connection can be reused.
-func (t *transport) drainBody(conn *endpointConn, resp *http.Response) bool {
+// drainBody reads the rest of a response and reports whether the connection can be kept.
+func (t *transport) drainBody(conn *httpconn.Conn, resp *http.Response) bool {
 	if resp.Close || resp.StatusCode == http.StatusSwitchingProtocols {
 		return false
 	}
 	conn.SetDeadline(time.Now().Add(bodyTimeout))
 	_, err := io.Copy(io.Discard, resp.Body)
-	return err == nil && conn.reader.Buffered() == 0
+	return err == nil
 }
 
 // resultOf maps a response to the result of the call.
@@ -447,95 +418,6 @@
 	return errors.As(err, &t) && t.Timeout()
 }
 
-// takeIdle removes the most recently used idle connection to endpoint and addr that is still usable from the pool and
-// returns it; nil if there is none. It closes the unusable ones that it meets.
-func (t *transport) takeIdle(endpoint logic.EndpointID, addr string) *endpointConn {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for list := t.idle[endpoint]; len(list) > 0; list = t.idle[endpoint] {
-		conn := list[len(list)-1]
-		t.idle[endpoint] = list[:len(list)-1]
-		t.idleTotal--
-		if conn.addr == addr && t.reusable(conn) {
-			return conn
-		}
-		conn.Close()
-	}
-	return nil
-}
-
-// reusable reports whether an idle connection may carry a call: it is not near its idle timeout, not closed by the
-// endpoint, and has no unsolicited data on it.
-func (t *transport) reusable(conn *endpointConn) bool {
-	if time.Since(conn.idleSince) > t.idleTimeout-min(idleExpiryMargin, t.idleTimeout/4) {
-		return false
-	}
-	alive, data := peekConn(conn.Conn)
-	return alive && !data
-}
-
-// putIdle keeps a connection for the next call; false if the pool is full.
-func (t *transport) putIdle(endpoint logic.EndpointID, conn *endpointConn) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if len(t.idle[endpoint]) >= t.maxIdlePerEndpoint || t.idleTotal >= t.maxIdle {
-		return false
-	}
-	t.countConn(conn)
-	conn.idleSince = time.Now()
-	conn.SetDeadline(time.Time{})
-	t.idle[endpoint] = append(t.idle[endpoint], conn)
-	t.idleTotal++
-	return true
-}
-
-// takeAllIdle removes all idle connections from the pool and returns them.
-func (t *transport) takeAllIdle() map[logic.EndpointID][]*endpointConn {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	all := t.idle
-	t.idle, t.idleTotal = map[logic.EndpointID][]*endpointConn{}, 0
-	return all
-}
-
-// idleCount returns the number of idle connections.
-func (t *transport) idleCount() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.idleTotal
-}
-
-// closeIdle closes the idle connections to an endpoint.
-func (t *transport) closeIdle(endpoint logic.EndpointID) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, conn := range t.idle[endpoint] {
-		conn.Close()
-		t.idleTotal--
-	}
-	delete(t.idle, endpoint)
-}
-
-// closeStale closes idle connections that are not reusable.
-func (t *transport) closeStale() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for endpoint, list := range t.idle {
-		kept := list[:0]
-		for _, conn := range list {
-			if t.reusable(conn) {
-				kept = append(kept, conn)
-			} else {
-				conn.Close()
-				t.idleTotal--
-			}
-		}
-		if t.idle[endpoint] = kept; len(kept) == 0 {
-			delete(t.idle, endpoint)
-		}
-	}
-}
-
 // newDeliveryRequest returns the request that delivers m to an endpoint.
 func newDeliveryRequest(m *Message, addr string, timeout time.Duration) (*http.Request, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+addr+"/inbox", bytes.NewReader(m.Body))
--- a/internal/node/transport_local_error_test.go
+++ b/internal/node/transport_local_error_test.go
@@ -8,12 +8,13 @@
 	"testing"
 	"time"
 
+	"crossdeal/internal/httpconn"
 	"crossdeal/logic"
 )
 
 // failingConn is a connection whose reads or writes fail.
 type failingConn struct {
-	net.Conn
+	*net.TCPConn
 	readErr, writeErr error
 }
 
@@ -21,14 +22,14 @@
 	if c.readErr != nil {
 		return 0, &net.OpError{Op: "read", Net: "tcp", Err: os.NewSyscallError("read", c.readErr)}
 	}
-	return c.Conn.Read(b)
+	return c.TCPConn.Read(b)
 }
 
 func (c *failingConn) Write(b []byte) (int, error) {
 	if c.writeErr != nil {
 		return 0, &net.OpError{Op: "write", Net: "tcp", Err: os.NewSyscallError("write", c.writeErr)}
 	}
-	return c.Conn.Write(b)
+	return c.TCPConn.Write(b)
 }
 
 // An error of a read is a broken connection, and one of a write a call that did not run, whatever the error says of a
@@ -41,12 +42,13 @@
 			logic.ConnBroken:  {readErr: errno},
 			logic.ConnRefused: {writeErr: errno},
 		} {
-			var err error
-			if conn.Conn, err = net.Dial("tcp", e.addr()); err != nil {
+			dialed, err := net.Dial("tcp", e.addr())
+			if err != nil {
 				t.Fatal(err)
 			}
+			conn.TCPConn = dialed.(*net.TCPConn)
 			outgoing := newTestCall(t, e.addr(), "hello", testTimeout)
-			outgoing.reusedConn = newEndpointConn(conn, e.addr())
+			outgoing.reusedConn = httpconn.NewConn(conn, e.addr())
 			if r := tr.do(t.Context(), outgoing); r.outcome != want {
 				t.Errorf("%v: outcome %d, want %d", errno, r.outcome, want)
 			}
--- a/internal/node/transport_test.go
+++ b/internal/node/transport_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"crossdeal/internal/httpconn"
 	"crossdeal/logic"
 )
 
@@ -24,7 +25,18 @@
 	return &call{id: m.ID, endpoint: 1, addr: addr, startedAt: time.Now(), timeout: timeout, request: req, state: new(atomic.Int32)}
 }
 
-func newTestTransport() *transport { return newTransport(time.Second, 10*time.Second, 4, 16) }
+func newTestTransport() *transport { return newTransport(time.Second, 10*time.Second, 4, 16, nil) }
+
+// keptConn returns the one idle connection to endpoint 1, which stays in the pool.
+func keptConn(t *testing.T, tr *transport) *httpconn.Conn {
+	t.Helper()
+	list := tr.idle.TakeAll()[1]
+	if len(list) != 1 {
+		t.Fatalf("%d idle connections, want 1", len(list))
+	}
+	tr.idle.Return(1, list[0])
+	return list[0]
+}
 
 // doInBackground makes a call in a goroutine and returns a channel for its result.
 func doInBackground(ctx context.Context, tr *transport, outgoing *call) <-chan callResult {
@@ -62,6 +74,7 @@
 		if r := await(t, got, "result"); r != x.want {
 			t.Errorf("%d %v: got %+v, want %+v", x.status, x.headers, r, x.want)
 		}
+		time.Sleep(httpconn.ReuseDelay)
 	}
 	if n := len(e.conns); n != 1 {
 		t.Errorf("%d connections for sequential calls, want 1", n)
@@ -130,7 +143,7 @@
 // An idle connection that the endpoint has closed, or that is about to reach its idle timeout, is not reused: the next
 // call on it could be reset, which makes an unsafe message fail.
 func TestStaleIdleConnectionIsNotReused(t *testing.T) {
-	e, tr := newTestEndpoint(t), newTransport(time.Second, time.Hour, 4, 16)
+	e, tr := newTestEndpoint(t), newTransport(time.Second, time.Hour, 4, 16, nil)
 	call := func(end func(*receivedCall)) {
 		t.Helper()
 		got := doInBackground(t.Context(), tr, newTestCall(t, e.addr(), "hello", testTimeout))
@@ -140,33 +153,24 @@
 		}
 	}
 	call(func(in *receivedCall) { in.replyAndClose(200) })
-	for stop := time.Now().Add(testTimeout); ; { // until the close of the connection is visible
-		tr.mu.Lock()
-		gone := len(tr.idle[1]) == 0 || !tr.reusable(tr.idle[1][0])
-		tr.mu.Unlock()
-		if gone {
-			break
-		}
+	for stop := time.Now().Add(testTimeout); keptConn(t, tr).Check() == nil; { // until the close of the connection is visible
 		if time.Now().After(stop) {
 			t.Fatal("closed connection still counts as reusable")
 		}
 	}
+	time.Sleep(httpconn.ReuseDelay)
 	call(func(in *receivedCall) { in.reply(200) })
 	if n := len(e.conns); n != 2 {
 		t.Fatalf("%d connections, want a second after the first was closed", n)
 	}
-	tr.mu.Lock()
-	tr.idle[1][0].idleSince = time.Now().Add(200*time.Millisecond - time.Hour)
-	tr.mu.Unlock()
+	keptConn(t, tr).SetIdleSince(time.Now().Add(200*time.Millisecond - time.Hour))
 	call(func(in *receivedCall) { in.reply(200) })
 	if n := len(e.conns); n != 3 {
 		t.Fatalf("%d connections, want a third after the second has expired", n)
 	}
-	tr.mu.Lock()
-	tr.idle[1][0].idleSince = time.Now().Add(-2 * time.Hour)
-	tr.mu.Unlock()
-	tr.closeStale()
-	if tr.idleTotal != 0 || len(tr.idle) != 0 {
+	keptConn(t, tr).SetIdleSince(time.Now().Add(-2 * time.Hour))
+	tr.idle.CloseStale()
+	if tr.idle.Len() != 0 || len(tr.idle.TakeAll()) != 0 {
 		t.Errorf("expired connection is kept after a sweep")
 	}
 }
@@ -208,8 +212,8 @@
 		t.Errorf("unresponsive: got %+v, want TimedOut", r)
 	}
 	in.awaitClose(t)
-	if tr.idleTotal != 0 {
-		t.Errorf("%d connections kept after abandoned calls", tr.idleTotal)
+	if n := tr.idle.Len(); n != 0 {
+		t.Errorf("%d connections kept after abandoned calls", n)
 	}
 }
 
@@ -292,7 +296,7 @@
 // A call that is cancelled with a partial response head ends soon, not only after headerTimeout.
 func TestCancelWithPartialHeaderEndsSoon(t *testing.T) {
 	e := newTestEndpoint(t)
-	tr := newTransport(time.Second, 10*time.Second, 4, 16)
+	tr := newTransport(time.Second, 10*time.Second, 4, 16, nil)
 	req, err := http.NewRequest(http.MethodPost, "http://"+e.addr()+"/inbox", strings.NewReader("body"))
 	if err != nil {
 		t.Fatal(err)
