Confirm no notice with bytes that come behind the answer to an earlier post

What callers saw: a message that got no end, as its notice was taken for confirmed.

Cause: net/http keeps a connection as soon as an answer is read, and gives it to the next post. A second 204 that arrives then confirms a notice that the platform never read. It notices such bytes only while the connection is idle.

Notices keep up to two connections, so that a socket that cannot be opened for a while does not hold up a notice that has one. Why not a new connection for each post: posts would then depend on sockets that this host may fail to open just when a message's time is up.

--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -10,7 +10,7 @@
 //   - it is checked when it is taken from the pool, and by Conn.Check right before the first byte of a request. One that
 //     has unread bytes, or that the server has closed, is closed and another one takes its place.
 //
-// Pool holds idle connections.
+// Pool holds idle connections, and Transport makes the requests of an http.Client with them.
 package httpconn
 
 import (
--- a/internal/node/extra_answer_process_test.go
+++ b/internal/node/extra_answer_process_test.go
@@ -215,7 +215,7 @@
 		}
 	})
 	events := make(chan any, notices)
-	queue := newNoticeQueue(platform.listener.Addr().String(), slog.New(slog.DiscardHandler), events)
+	queue := newNoticeQueue(platform.listener.Addr().String(), slog.New(slog.DiscardHandler), events, nil)
 	go queue.run(t.Context())
 	rng := rand.New(rand.NewPCG(5, 6))
 	for i := range notices {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -103,7 +103,7 @@
 	n.transport.clients = n.clients
 	n.listStore = discovery.OpenStore(cfg.StateDir, cfg.Limits.listStoreBytes(), log)
 	n.watcher = n.newDiscoveryClient()
-	n.notices = newNoticeQueue(cfg.DiscoveryAddr, log, n.events)
+	n.notices = newNoticeQueue(cfg.DiscoveryAddr, log, n.events, n.extraBytes.Report)
 	n.logSettings()
 	if err := n.acquireState(); err != nil && !errors.Is(err, errStateLocked) {
 		log.Error("the state folder fails, trying again", "err", err) // Run waits for it
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -21,6 +21,7 @@
 	"sync"
 	"time"
 
+	"crossdeal/internal/httpconn"
 	"crossdeal/internal/neterror"
 )
 
@@ -34,7 +35,8 @@
 	noticeEqualRepeats = 3                      // posts of a notice after which the delay begins to double if there is no answer ...
 	noticeEqualRetries = 20                     // ... and if posts fail, as they do at once while this host has no socket
 	noticeMaxRepeat    = 400 * time.Millisecond // longest delay of both kinds
-	noticeIdleTimeout  = 30 * time.Second       // of the kept connection
+	noticeIdleTimeout  = 30 * time.Second       // of kept connections
+	maxKeptNoticeConns = 2                      // a post soon after another one cannot use its connection
 	noticeNoDue        = time.Hour              // how long the queue sleeps if no notice is due
 )
 
@@ -65,8 +67,7 @@
 // queue holds no more than the journal has room for, and what is still in it when the process ends is sent after the
 // next start.
 type noticeQueue struct {
-	kept   *http.Client // keeps a connection between posts
-	fresh  *http.Client // opens a connection for each post
+	client *http.Client
 	log    *slog.Logger
 	events chan<- any
 	wake   chan struct{} // holds a token when something was added or a post has ended
@@ -85,11 +86,14 @@
 	repeated int // notices posted again
 }
 
-func newNoticeQueue(addr string, log *slog.Logger, events chan<- any) *noticeQueue {
-	dial := (&net.Dialer{Timeout: noticePostTimeout}).DialContext
+// newNoticeQueue returns an empty queue. onExtraBytes is called for each connection that is closed for what came behind
+// an answer.
+func newNoticeQueue(addr string, log *slog.Logger, events chan<- any, onExtraBytes func(*httpconn.ExtraBytesError)) *noticeQueue {
+	dialer := &net.Dialer{Timeout: noticePostTimeout}
+	transport := httpconn.NewTransport(httpconn.TransportConfig{Dial: dialer.DialContext, MaxIdle: maxKeptNoticeConns,
+		IdleTimeout: noticeIdleTimeout, OnExtraBytes: onExtraBytes})
 	return &noticeQueue{url: outcomesURL(addr), log: log, events: events, wake: make(chan struct{}, 1),
-		kept:  &http.Client{Transport: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: 1, IdleConnTimeout: noticeIdleTimeout}},
-		fresh: &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}}
+		client: &http.Client{Transport: transport}}
 }
 
 func outcomesURL(addr string) string { return "http://" + addr + "/v1/outcomes" }
@@ -156,7 +160,8 @@
 			return nil, wait
 		}
 	}
-	post := &noticePost{client: n.kept, url: n.url, begunAt: now}
+	post := &noticePost{client: n.client, url: n.url, begunAt: now}
+	avoidKept := false
 	wait := noticeNoDue
 	for _, q := range n.queue {
 		if left := q.postAt.Sub(now); left > 0 {
@@ -167,9 +172,7 @@
 			n.counts.repeated++
 			q.avoidKept = q.avoidKept || !q.notSent
 		}
-		if q.avoidKept {
-			post.client = n.fresh
-		}
+		avoidKept = avoidKept || q.avoidKept
 		q.posts++
 		q.notSent = false
 		q.postAt = now.Add(q.repeatDelay(noticeFirstRepeat, noticeEqualRepeats))
@@ -183,6 +186,9 @@
 	if len(n.inFlight) >= maxPosts {
 		n.inFlight[0].cancel() // without an answer for longest; its notices have been posted again since
 	}
+	if avoidKept {
+		ctx = httpconn.WithFreshConn(ctx)
+	}
 	post.ctx, post.cancel = context.WithTimeout(ctx, noticePostTimeout)
 	n.inFlight = append(n.inFlight, post)
 	n.counts.posts++
@@ -286,7 +292,7 @@
 		return err
 	}
 	defer resp.Body.Close()
-	// The body is read so that the connection can be reused; its content does not matter.
+	// The body is read so that the connection can be kept; its content does not matter.
 	_, _ = io.Copy(io.Discard, io.LimitReader(resp.Body, maxResponseBytes))
 	if resp.StatusCode != http.StatusNoContent {
 		return fmt.Errorf("platform answered %s", resp.Status)
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -43,7 +43,7 @@
 		}
 	}()
 	events := make(chan any, 8)
-	n := newNoticeQueue(ln.Addr().String(), slog.New(slog.DiscardHandler), events)
+	n := newNoticeQueue(ln.Addr().String(), slog.New(slog.DiscardHandler), events, nil)
 	go n.run(t.Context())
 	n.add(Notice{ID: "a", State: "failed"})
 	last := await(t, received, "notice")
