Answer no watch with a second copy of the list before

What callers saw: nothing directly; a list counted as confirmed by an answer that was given before it was asked for, and from then on each answer was one behind: calls to endpoints that drain could go on past the grace.

Evidence: TestWatchIsNotAnsweredByTheCopyOfAnEarlierAnswer: 37 of 40 watches were answered by the copy.

Change: list calls use httpconn's RoundTripper. A watch follows the last answer at once, so two connections take turns. A GET on a kept connection that ends without a byte is made once more on a new one, as net/http did.

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -24,6 +24,7 @@
 	"syscall"
 	"time"
 
+	"crossdeal/internal/httpconn"
 	"crossdeal/internal/neterror"
 )
 
@@ -82,6 +83,8 @@
 	minTimedBytes    = 64 << 10
 	maxTrailingBytes = 4 << 10                // bytes after a list that are read, to reuse the connection
 	trailingTimeout  = 100 * time.Millisecond // for reading them
+	maxKeptConns     = 2                      // a call right after an answer cannot use the connection of that
+	connIdleTimeout  = 30 * time.Second       // of kept connections
 )
 
 var (
@@ -116,7 +119,8 @@
 	Directory      *Directory
 	Store          *Store // keeps the list for the next start; nil for none
 	Log            *slog.Logger
-	Dial           func(ctx context.Context, network, addr string) (net.Conn, error) // nil for TCP
+	Dial           httpconn.DialFunc                   // nil for TCP
+	OnExtraBytes   func(err *httpconn.ExtraBytesError) // called when a connection is closed for what came behind an answer; may be nil
 }
 
 // Client requests the list and watches it. Only one Watch may run at a time.
@@ -168,8 +172,8 @@
 		maxAnswerBytes: max(cfg.MaxAnswerBytes, MinAnswerLimitBytes),
 		rng:            rand.New(rand.NewPCG(cfg.Seed, 1)), directory: cfg.Directory, store: cfg.Store, log: cfg.Log,
 		events: events, wake: make(chan struct{}, 1),
-		httpClient: &http.Client{Transport: &http.Transport{
-			DialContext: dial, MaxIdleConnsPerHost: 1, MaxConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}}}
+		httpClient: &http.Client{Transport: httpconn.NewTransport(httpconn.TransportConfig{Dial: dial, MaxIdle: maxKeptConns,
+			IdleTimeout: connIdleTimeout, OnExtraBytes: cfg.OnExtraBytes})}}
 }
 
 // SetInitialState sets what is known at the start, before the first Watch: the generation of the list in the directory,
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -193,7 +193,8 @@
 func (n *Node) newDiscoveryClient() *discovery.Client {
 	settings := &n.cfg.Deployment.Settings
 	return discovery.NewClient(discovery.Config{Addr: n.cfg.DiscoveryAddr, Senders: settings.Senders,
-		Pushed: settings.ListPushed, DrainGrace: toDuration(settings.DrainGrace), Seed: n.cfg.Seed, MaxAnswerBytes: n.cfg.Limits.maxListBytes(), Directory: n.directory, Store: n.listStore, Log: n.log}, n.events)
+		Pushed: settings.ListPushed, DrainGrace: toDuration(settings.DrainGrace), Seed: n.cfg.Seed, MaxAnswerBytes: n.cfg.Limits.maxListBytes(), Directory: n.directory, Store: n.listStore, Log: n.log,
+		OnExtraBytes: n.extraBytes.Report}, n.events)
 }
 
 // target returns where an endpoint can be reached; without an address if it never had one.
