Do not take ETIMEDOUT on a read for a call's own deadline

What callers saw: an endpoint whose connection broke with ETIMEDOUT was not blamed, and the call counted as given up at its own time, before that time.

Cause: isTimeout asked Timeout(), and syscall.ETIMEDOUT says yes to that. Only os.ErrDeadlineExceeded is the connection's deadline.

--- a/internal/node/transport.go
+++ b/internal/node/transport.go
@@ -12,6 +12,7 @@
 	"maps"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -413,10 +414,8 @@
 	return "answer_other"
 }
 
-func isTimeout(err error) bool {
-	var t net.Error
-	return errors.As(err, &t) && t.Timeout()
-}
+// isTimeout reports whether a connection's own deadline has passed. ETIMEDOUT is an error of the network.
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
 
 // newDeliveryRequest returns the request that delivers m to an endpoint.
 func newDeliveryRequest(m *Message, addr string, timeout time.Duration) (*http.Request, error) {
