--- a/internal/node/extra_answer_process_test.go
+++ b/internal/node/extra_answer_process_test.go
@@ -62,6 +62,42 @@
 	}
 }
 
+// What comes behind the answer to a call that was handed over, or on a connection that was, must not answer the next call
+// of the new process.
+func TestCallIsNotAnsweredByBytesBehindAnAnswerAfterAHandover(t *testing.T) {
+	for name, during := range map[string]bool{"idle connection": false, "call without an answer yet": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			r := newFaultRig(t)
+			old := r.start()
+			c := dialClient(t, old.addr)
+			c.put("first", "unsafe", "+OK")
+			first := await(t, r.endpoint.calls, "call")
+			if !during {
+				first.reply(200)
+				time.Sleep(reusableAfter)
+			}
+			x := r.start() // takes over
+			if during {
+				io.WriteString(first.conn, answer200+answer200)
+				first.keepReading <- true
+				time.Sleep(reusableAfter)
+			} else {
+				io.WriteString(first.conn, answer200)
+			}
+			c.put("next", "unsafe", "+OK")
+			next := await(t, r.endpoint.calls, "next call")
+			if next.conn == first.conn {
+				t.Error("the next call was written behind a second copy of an answer")
+			}
+			next.reply(200)
+			r.expectNoNotice(time.Second)
+			old.kill()
+			x.kill()
+		})
+	}
+}
+
 // expectNoNotice checks that the platform gets no notice for a time.
 func (r *faultRig) expectNoNotice(wait time.Duration) {
 	r.t.Helper()
