Read back a failed write that cannot be cut off, in place of leaving its clients without an answer

Cause: a write that fails in its middle may leave whole records. A refusal waits until they are cut off, since a kill would bring the messages back. Where neither truncation nor a rewrite works, it waited for as long as the fault lasted.

A whole record there is as safe as any (no syncs are used): it counts as written, and its message is accepted. What follows is a part of one record, which no replay applies and the next write overwrites; its message is refused at once. Only bytes that can be neither cut off nor read back make answers wait as before; so does a tail that a start finds and cannot cut off. Records of the backlog that landed leave it, so none is applied twice. An operator's call whose record landed holds and is answered ok.

Tests changed: in that case "+OK while no record could be written" became wrong, since records that landed are written; in its place each message that got +OK must be sent after the kill, and each client gets an answer.

--- a/internal/node/actions.go
+++ b/internal/node/actions.go
@@ -56,7 +56,7 @@
 		case answer != "":
 			n.trace.notAccepted(p.message.ID, answer)
 			p.answer <- answer
-		case err != nil: // not journaled, so not accepted
+		case n.journal.Entry(p.message.ID) == nil: // not journaled, so not accepted
 			n.refuse(p.answer)
 			n.dropUnaccepted(p.message.ID)
 			n.nextEvents = append(n.nextEvents, logic.ClientGone{ID: p.message.ID})
--- a/internal/node/admin.go
+++ b/internal/node/admin.go
@@ -338,9 +338,12 @@
 	if command.enable {
 		rec, ev = record{Op: opEnableEndpoint, ID: command.endpoint}, logic.Unban{Endpoint: endpoint}
 	}
-	if err := n.journal.Append([]record{rec}); err != nil {
+	err := n.journal.Append([]record{rec})
+	if err != nil {
 		n.log.Error("journal", "err", err)
 		n.scheduleJournalRetry()
+	}
+	if n.journal.disabled[command.endpoint] == command.enable { // not journaled
 		command.answer <- errors.New("not written to the journal")
 		return
 	}
--- a/internal/node/fault_process_test.go
+++ b/internal/node/fault_process_test.go
@@ -26,7 +26,9 @@
 	restartEndLimit  = 1550 * time.Millisecond
 	clientAnswerTime = 400 * time.Millisecond // a client waits this long for an answer
 	maxHoldUp        = 150 * time.Millisecond // a process may be held up this long between its clock and a write
-	timeSlack        = 50 * time.Millisecond  // by which each time limit is longer on sockets
+	// restartedSendLimit is the time after a start within which the messages of its journal have been sent.
+	restartedSendLimit = 8 * time.Second
+	timeSlack          = 50 * time.Millisecond // by which each time limit is longer on sockets
 )
 
 // faultRig is one sender whose processes run under faults of system calls.
@@ -146,7 +148,7 @@
 }
 
 // A client that was told -BUSY hands its message in again elsewhere: a kill must not bring back what a failed write left
-// in the journal.
+// in the journal. Each client gets its answer in time, also while nothing can be cut off.
 func TestRefusedMessageDoesNotReturnAfterAPartialWrite(t *testing.T) {
 	for name, truncate := range map[string]bool{"truncation works": false, "truncation fails": true} {
 		refused := 0
@@ -177,23 +179,39 @@
 			x.kill()
 			r.folder.Set(syscallfault.FolderFault{})
 			x = r.start()
-			for _, call := range r.callsUntil(time.Now().Add(500 * time.Millisecond)) {
-				if strings.HasPrefix(answers[call.id()], "-BUSY") {
-					t.Errorf("%s: message %s was sent after -BUSY", name, call.id())
+			sent := map[string]bool{}
+			allSent := func() bool {
+				for id, answer := range answers {
+					if strings.HasPrefix(answer, "+OK") && !sent[id] {
+						return false
+					}
 				}
-				call.reply(200)
+				return true
 			}
-			for _, answer := range answers {
-				if strings.HasPrefix(answer, "-BUSY") {
-					refused++
+			for begun := time.Now(); time.Since(begun) < 500*time.Millisecond || !allSent() && time.Since(begun) < restartedSendLimit; {
+				for _, call := range r.callsUntil(time.Now().Add(50 * time.Millisecond)) {
+					if strings.HasPrefix(answers[call.id()], "-BUSY") {
+						t.Errorf("%s: message %s was sent after -BUSY", name, call.id())
+					}
+					sent[call.id()] = true
+					call.reply(200)
 				}
-				if strings.HasPrefix(answer, "+OK") {
+			}
+			for id, answer := range answers {
+				switch {
+				case strings.HasPrefix(answer, "-BUSY"):
+					refused++
+				case answer == "":
+					t.Errorf("%s: the client of message %s got no answer", name, id)
+				case strings.HasPrefix(answer, "+OK") && !truncate:
 					t.Errorf("%s: +OK while no record could be written", name)
+				case strings.HasPrefix(answer, "+OK") && !sent[id]:
+					t.Errorf("%s: message %s was accepted and is lost", name, id)
 				}
 			}
 			x.kill()
 		}
-		if !truncate && refused == 0 {
+		if refused == 0 {
 			t.Errorf("%s: no message was refused: the test shows nothing", name)
 		}
 	}
--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -65,7 +65,8 @@
 	backlog        []byte // records that are applied to entries and could not be written yet
 	needsRewrite   bool   // entries has further changes that the file lacks: rewrite before the next append
 	failing        bool   // the last write has failed
-	tailDirty      bool   // bytes of a failed write may follow size: cut them off before the next append
+	tailDirty      bool   // bytes of a failed write may follow size
+	tailUnknown    bool   // with tailDirty: they may hold whole records
 }
 
 // journalFileLimit returns the limit of the journal's file for a disk limit; diskBytes is 0 where there is none. Two
@@ -125,6 +126,7 @@
 	}
 	j.truncatedBytes = info.Size() - j.size
 	j.tailDirty = j.truncatedBytes > 0 && f.Truncate(j.size) != nil
+	j.tailUnknown = j.tailDirty // behind the broken record there may be whole ones
 	return nil
 }
 
--- a/internal/node/journal_crash_test.go
+++ b/internal/node/journal_crash_test.go
@@ -17,6 +17,7 @@
 	failFrom    int // first operation that fails ...
 	failUntil   int // ... and the first one after it that does not
 	onlyWrites  bool
+	failReads   bool
 	writtenPart float64 // of a write that fails
 	dieAt       int     // operation at which the process dies, after writtenPart of a write
 }
@@ -96,6 +97,21 @@
 	return n, nil
 }
 
+// ReadAt fails together with the operations that change something if failReads is set.
+func (f *memoryFile) ReadAt(b []byte, offset int64) (int, error) {
+	if f.files.failReads && f.files.operations >= f.files.failFrom && f.files.operations < f.files.failUntil {
+		return 0, errMemoryFault
+	}
+	n := 0
+	if offset < int64(len(f.content.data)) {
+		n = copy(b, f.content.data[offset:])
+	}
+	if n < len(b) {
+		return n, io.EOF
+	}
+	return n, nil
+}
+
 // WriteAt gives a count of 0 after a partial write, as os.File does.
 func (f *memoryFile) WriteAt(b []byte, offset int64) (int, error) {
 	if f.files.next(true, func() { f.write(b[:int(f.files.writtenPart*float64(len(b)))], offset) }) {
@@ -144,6 +160,7 @@
 	noticed        map[string]bool // its notice was told
 	refused        map[string]bool // told -BUSY
 	written        map[string]bool // its call was written and has no outcome
+	partlyAccepted int             // messages that were accepted although an append failed behind their records
 	waitingRefusal []string
 	waitingNotice  []string
 }
@@ -163,8 +180,11 @@
 	for _, rec := range recs {
 		switch rec.Op {
 		case opAccept:
-			if err == nil {
+			if r.journal.Entry(rec.Entry.ID) != nil {
 				r.accepted[rec.Entry.ID] = true
+				if err != nil {
+					r.partlyAccepted++
+				}
 			} else {
 				r.waitingRefusal = append(r.waitingRefusal, rec.Entry.ID)
 			}
@@ -178,7 +198,7 @@
 }
 
 func (r *recordedRun) tellWhatIsSafe() {
-	if !r.journal.TailDirty() {
+	if !r.journal.TailUnknown() {
 		for _, id := range r.waitingRefusal {
 			r.refused[id] = true
 		}
@@ -281,30 +301,32 @@
 	if newRun().play(undisturbed); undisturbed.operations < 30 {
 		t.Fatalf("only %d operations", undisturbed.operations)
 	}
-	runs, refused, failures := 0, 0, 0
+	runs, refused, partlyAccepted, failures := 0, 0, 0, 0
 	for failFrom := 1; failFrom <= undisturbed.operations; failFrom++ {
 		for _, length := range []int{1, 3, 20} {
 			for _, onlyWrites := range []bool{true, false} {
 				for _, part := range []float64{0, 0.5, 1} {
-					for dieAt := failFrom; dieAt < failFrom+length+4; dieAt++ {
+					for number := range 2 * (length + 4) {
+						dieAt, failReads := failFrom+number/2, number%2 == 1
 						files := &memoryFiles{content: map[string]*memoryContent{}, failFrom: failFrom, failUntil: failFrom + length, onlyWrites: onlyWrites,
-							writtenPart: part, dieAt: dieAt}
+							failReads: failReads, writtenPart: part, dieAt: dieAt}
 						run := newRun()
 						run.play(files)
 						runs++
 						refused += len(run.refused)
+						partlyAccepted += run.partlyAccepted
 						if violations := run.check(files); len(violations) > 0 && failures < 10 {
 							failures++
-							t.Errorf("operations %d to %d fail (only writes: %v, %.0f %% written), death at %d: %q", failFrom, failFrom+length-1, onlyWrites,
-								100*part, dieAt, violations)
+							t.Errorf("operations %d to %d fail (only writes: %v, reads: %v, %.0f %% written), death at %d: %q", failFrom, failFrom+length-1,
+								onlyWrites, failReads, 100*part, dieAt, violations)
 						}
 					}
 				}
 			}
 		}
 	}
-	if refused == 0 {
-		t.Error("no run refused a message: the test shows nothing")
+	if refused == 0 || partlyAccepted == 0 {
+		t.Errorf("%d messages refused, %d accepted by a failed append: the test shows nothing", refused, partlyAccepted)
 	}
 	t.Logf("%d runs", runs)
 }
--- a/internal/node/journal_files.go
+++ b/internal/node/journal_files.go
@@ -17,6 +17,7 @@
 // journalFile is an open file of the journal.
 type journalFile interface {
 	io.Reader
+	io.ReaderAt
 	io.WriterAt
 	io.Closer
 	Name() string
--- a/internal/node/journal_write.go
+++ b/internal/node/journal_write.go
@@ -3,28 +3,31 @@
 // Writing to the journal: appending records, repairing the file after a write that failed, and rewriting it.
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"io"
 	"os"
 	"slices"
+
+	"crossdeal/internal/wal"
 )
 
 // Append writes records with a single write, so that a process that dies leaves no record in the file without all those
-// before it. On an error the caller must not carry out what opAccept, opConnect, opSend or an operator's command
-// announces; while TailDirty, a kill may still leave some of these records to the next start. Records of what has
-// already happened are applied to the entries all the same, and are written with the next append, or by Flush.
+// before it. Records that are in the file are applied to the entries, also if the write failed behind them. On an error
+// the caller must not carry out what an opAccept, opConnect, opSend or operator's command announces that was not applied;
+// while TailUnknown, a kill may still leave some of these records to the next start. Records of what has already happened
+// are applied all the same, and are written with the next append, or by Flush.
 func (j *Journal) Append(recs []record) error {
 	if len(recs) == 0 {
 		return nil
 	}
-	err := j.write(recs)
-	for _, rec := range recs {
-		if err != nil {
-			if rec.Op.announces() {
-				continue
-			}
-			j.addToBacklog(rec)
+	written, err := j.write(recs)
+	for _, rec := range recs[written:] {
+		if rec.Op.announces() {
+			continue
 		}
+		j.addToBacklog(rec)
 		j.apply(rec)
 	}
 	if err != nil {
@@ -49,68 +52,124 @@
 // Flush writes what the file lacks, and cuts off what a failed write has left behind the last record.
 func (j *Journal) Flush() error {
 	if j.Saved() {
-		return j.CutTail()
+		return j.prepareTail()
 	}
-	return j.write(nil)
+	_, err := j.write(nil)
+	return err
 }
 
-// write writes the backlog and then recs.
-func (j *Journal) write(recs []record) error {
-	var added []byte
-	for _, rec := range recs {
-		var err error
-		if added, err = appendRecord(added, rec); err != nil {
-			return err
+// write writes the backlog and then recs. It applies the records that are in the file and returns their number.
+func (j *Journal) write(recs []record) (written int, err error) {
+	encoded := make([][]byte, len(recs))
+	for i, rec := range recs {
+		if encoded[i], err = appendRecord(nil, rec); err != nil {
+			return 0, err
 		}
 	}
-	if err := j.CutTail(); err != nil {
-		return err
+	if err := j.prepareTail(); err != nil {
+		return 0, err
 	}
-	if j.needsRewrite || j.size+int64(len(j.backlog)+len(added)+maxAnchorBytes) > j.limit {
+	added := 0
+	for _, b := range encoded {
+		added += len(b)
+	}
+	if j.needsRewrite || j.size+int64(len(j.backlog)+added+maxAnchorBytes) > j.limit {
 		if err := j.Compact(); err != nil {
-			return err
+			return 0, err
 		}
 	}
-	err := j.writeAtEnd(slices.Concat(j.backlog, added))
+	written, err = j.writeRecords(recs, encoded)
 	if err != nil && j.failing && j.Compact() == nil { // the file itself may be the cause: go on with a new one
-		err = j.writeAtEnd(added)
-	}
-	if j.failing = err != nil; j.failing {
-		return err
+		var more int
+		more, err = j.writeRecords(recs[written:], encoded[written:])
+		written += more
 	}
-	j.backlog = nil
-	return nil
+	j.failing = err != nil
+	return written, err
 }
 
-// writeAtEnd writes records behind the last one, after the anchor if the file has none.
-func (j *Journal) writeAtEnd(b []byte) error {
+// writeRecords writes the backlog and then recs behind the last record. It applies the records that are in the file and
+// returns their number.
+func (j *Journal) writeRecords(recs []record, encoded [][]byte) (written int, err error) {
+	bytesWritten, err := j.writeAtEnd(slices.Concat(append([][]byte{j.backlog}, encoded...)...))
+	fromBacklog := min(bytesWritten, len(j.backlog))
+	if j.backlog = j.backlog[fromBacklog:]; len(j.backlog) == 0 {
+		j.backlog = nil
+	}
+	bytesWritten -= fromBacklog
+	for written < len(recs) && bytesWritten >= len(encoded[written]) {
+		bytesWritten -= len(encoded[written])
+		j.apply(recs[written])
+		written++
+	}
+	return written, err
+}
+
+// writeAtEnd writes records behind the last one, after the anchor if the file has none. It returns the size of those that
+// are in the file, which after an error may be some.
+func (j *Journal) writeAtEnd(b []byte) (written int, err error) {
 	if len(b) == 0 {
-		return nil
+		return 0, nil
 	}
+	anchorBytes := 0
 	if j.anchor != nil && !j.anchorInFile {
 		anchor, err := appendRecord(nil, record{Op: opAnchor, Anchor: j.anchor})
 		if err != nil {
-			return err
+			return 0, err
 		}
-		b = append(anchor, b...)
+		anchorBytes, b = len(anchor), append(anchor, b...)
 	}
 	if j.size+int64(len(b)) > j.limit {
-		return errJournalFull
+		return 0, errJournalFull
 	}
-	if _, err := j.file.WriteAt(b, j.size); err != nil {
+	written = len(b)
+	if _, err = j.file.WriteAt(b, j.size); err != nil {
 		// Whole records may be in the file, whatever count the write gave. A replay would apply them, and cut off later
 		// records behind a torn one.
-		j.tailDirty = true
-		return errors.Join(err, j.CutTail())
+		j.tailDirty, written = true, 0
+		if cutErr := j.CutTail(); cutErr != nil {
+			err = errors.Join(err, cutErr)
+			written = j.readBack(b)
+		}
 	}
-	j.size += int64(len(b))
-	j.anchorInFile = true
-	return nil
+	j.size += int64(written)
+	j.anchorInFile = j.anchorInFile || written > 0
+	return max(written-anchorBytes, 0), err
 }
 
-// TailDirty reports whether bytes of a failed write could not be cut off: the next start may find records in the file
-// whose Append has failed.
-func (j *Journal) TailDirty() bool { return j.tailDirty }
+// readBack returns the size of the whole records of a failed write that are in the file. What follows them is a part of
+// one record, which no start applies and the next write overwrites.
+func (j *Journal) readBack(b []byte) (size int) {
+	found := make([]byte, len(b))
+	n, err := j.file.ReadAt(found, j.size)
+	if err != nil && !errors.Is(err, io.EOF) {
+		j.tailUnknown = true
+		return 0
+	}
+	r := wal.NewReader(bytes.NewReader(found[:n]), maxRecordBytes)
+	for err = nil; err == nil; {
+		_, err = r.Next()
+	}
+	size = int(r.Offset())
+	if !bytes.Equal(found[:size], b[:size]) { // records of another write
+		j.tailUnknown = true
+		return 0
+	}
+	return size
+}
+
+// TailUnknown reports whether bytes of a failed write could be neither cut off nor read back: the next start may find
+// records in the file whose Append has failed.
+func (j *Journal) TailUnknown() bool { return j.tailUnknown }
+
+// prepareTail cuts off what a failed write has left behind the last record. If that fails, the bytes stay where the next
+// write overwrites them, unless they may hold whole records.
+func (j *Journal) prepareTail() error {
+	if err := j.CutTail(); err != nil && j.tailUnknown {
+		return err
+	}
+	return nil
+}
 
 // CutTail cuts off what a failed write has left behind the last record, by a rewrite if the file cannot be truncated.
 func (j *Journal) CutTail() error {
@@ -118,12 +177,12 @@
 		return nil
 	}
 	if info, err := j.file.Stat(); err == nil && info.Size() <= j.size {
-		j.tailDirty = false // nothing was written
+		j.tailDirty, j.tailUnknown = false, false // nothing was written
 		return nil
 	}
 	err := j.file.Truncate(j.size)
 	if err == nil {
-		j.tailDirty = false
+		j.tailDirty, j.tailUnknown = false, false
 		return nil
 	}
 	if rewriteErr := j.Compact(); rewriteErr != nil {
@@ -155,7 +214,7 @@
 	}
 	j.file.Close()
 	j.file, j.size = f, int64(len(b))
-	j.backlog, j.needsRewrite, j.tailDirty = nil, false, false
+	j.backlog, j.needsRewrite, j.tailDirty, j.tailUnknown = nil, false, false, false
 	j.anchorInFile = len(b) > 0
 	return nil
 }
--- a/internal/node/unsaved.go
+++ b/internal/node/unsaved.go
@@ -36,7 +36,7 @@
 // refuse answers a message that was not journaled with -BUSY. While a kill could bring the message back the answer waits:
 // its client hands the message in elsewhere once it is refused.
 func (n *Node) refuse(answer chan<- string) {
-	if !n.journal.TailDirty() {
+	if !n.journal.TailUnknown() {
 		answer <- busyAnswer(0)
 		return
 	}
@@ -60,7 +60,7 @@
 	if err := n.journal.Flush(); err != nil {
 		n.scheduleJournalRetry()
 	}
-	if !n.journal.TailDirty() {
+	if !n.journal.TailUnknown() {
 		n.answerRefusals()
 	}
 	n.tellSavedEnds()
