Count a repeat whose window passed since its decision as withheld, not as broken

What was seen: the guard once reported a broken rule for a repeat that it withheld 0.17 s after its decision (a process held up beside load).

Cause: the guard compared the window with the time of its own check only. A violation is an action that was wrong when it was decided.

Change: the time of the decision is kept, and a repeat is a violation only if its window had passed by then. It is withheld in both cases.

--- a/internal/node/guard.go
+++ b/internal/node/guard.go
@@ -184,7 +184,8 @@
 }
 
 // permitCall checks a call that the decision logic has just decided on, before anything of it is journaled or written.
-// A broken rule is a violation, except for a list that became stale or a deadline that passed since the decision.
+// A broken rule is a violation, except for a list that became stale, or a deadline or window that passed, since the
+// decision.
 func (n *Node) permitCall(id string, endpoint logic.EndpointID) bool {
 	h := n.held[id]
 	if h == nil {
@@ -197,10 +198,10 @@
 	case violated == "" && n.cfg.Deployment.Settings.MaxTries > 0 && h.attempts >= n.cfg.Deployment.Settings.MaxTries:
 		violated = ruleAttempts
 	}
-	switch violated {
-	case "":
+	switch {
+	case violated == "":
 		return true
-	case ruleUnconfirmed, ruleDeadline:
+	case violated == ruleUnconfirmed, violated == ruleDeadline, violated == ruleRepeat && !n.repeatForbidden(h.message, n.decidedAt):
 		n.guard.recordWithheld(violated)
 	default:
 		n.guard.recordViolation(violated, "id", id, "endpoint", n.directory.Name(endpoint), "attempt", h.attempts, "generation", n.listGeneration)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -189,5 +189,6 @@
 func (n *Node) step(work context.Context) {
 	events := n.nextEvents
 	n.nextEvents = nil
-	n.executeActions(work, n.sender.Step(toMicros(time.Since(n.clockOrigin)), events))
+	n.decidedAt = time.Now()
+	n.executeActions(work, n.sender.Step(toMicros(n.decidedAt.Sub(n.clockOrigin)), events))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,7 @@
 	ready            chan net.Addr // gets the address once clients are served
 
 	// Used by the loop only.
+	decidedAt      time.Time // when the decision logic decided on the actions that are being executed
 	clockOrigin    time.Time // when the clock of the decision logic was at 0; a handover keeps it
 	held           map[string]*heldMessage
 	openMessages   int                  // those of held that have not ended
