Soak: report reads of the clock only from senders whose wall clock is stepped

Under the filter each read of the clock waited for the test's process, in which the stand-ins live, so beside load the senders were held up far beyond the terms. Whether a run steps a sender's clock is known from its seed before the sender starts; the others read the clock as usual. The plans are the same, and each step that was planned is still played.

--- a/internal/soak/harness.go
+++ b/internal/soak/harness.go
@@ -134,6 +134,7 @@
 		}
 		if h.cfg.SystemCallFaults {
 			sender.systemCalls = newSystemCalls(sender.stateDir(), h.cfg.Seed, i)
+			sender.systemCalls.stepsClock = h.plansClockStep(sender, i)
 		}
 		sender.makeConfig = func(discovery string) []byte { return h.configJSON(name, listen, discovery, seed, rows) }
 		h.senders = append(h.senders, sender)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -20,7 +20,8 @@
 // Plan holds the faults of a run, drawn from its seed. Faults are drawn independently and so overlap, but those of one
 // sender's process run one after the other.
 type Plan struct {
-	actions []timedAction
+	actions    []timedAction
+	stepsClock bool // a fault steps a wall clock
 }
 
 const (
@@ -34,7 +35,7 @@
 	p.planEndpointFaults(h)
 	p.planReplacements(h)
 	for i, sender := range h.senders {
-		rng := rand.New(rand.NewPCG(h.cfg.Seed, uint64(100+i)))
+		rng := senderPlanRNG(h, i)
 		p.planDiscoveryFaults(h, sender, rng)
 		p.planProcessFaults(h, sender, rng)
 		if sender.systemCalls != nil {
@@ -46,6 +47,18 @@
 	return p
 }
 
+func senderPlanRNG(h *Harness, senderIndex int) *rand.Rand {
+	return rand.New(rand.NewPCG(h.cfg.Seed, uint64(100+senderIndex)))
+}
+
+// plansClockStep reports whether the plan of the run steps a sender's wall clock.
+func (h *Harness) plansClockStep(sender *managedSender, senderIndex int) bool {
+	p, rng := &Plan{}, senderPlanRNG(h, senderIndex)
+	p.planDiscoveryFaults(h, sender, rng)
+	p.planProcessFaults(h, sender, rng)
+	return p.stepsClock
+}
+
 func (p *Plan) add(offset time.Duration, description string, run func() error) {
 	p.actions = append(p.actions, timedAction{offset, description, run})
 }
@@ -149,6 +162,7 @@
 	}
 	for at := 1500*time.Millisecond + time.Duration(rng.Int64N(int64(6*time.Second))); at < h.cfg.FaultPeriod; {
 		fault := kinds[rng.IntN(len(kinds))]
+		p.stepsClock = p.stepsClock || fault.stepsClock()
 		seed := rng.Uint64()
 		p.add(at, fmt.Sprintf("%s: %s", sender.name, fault.description), func() error {
 			sender.faultMu.Lock()
--- a/internal/soak/system_calls.go
+++ b/internal/soak/system_calls.go
@@ -32,7 +32,8 @@
 // systemCalls decides on the system calls of a sender's processes. It is safe for concurrent use. The methods of a nil
 // pointer do nothing: the processes run without a filter.
 type systemCalls struct {
-	folder *syscallfault.Folder
+	folder     *syscallfault.Folder
+	stepsClock bool // the wall clock is stepped in this run; otherwise reads of the clock are not reported
 
 	mu           sync.Mutex
 	rng          *rand.Rand
@@ -51,10 +52,13 @@
 	if s == nil {
 		return cmd.Start()
 	}
-	if err := syscallfault.UseSystemCallClock(cmd, dir); err != nil {
-		return err
+	calls := append(syscallfault.FolderCalls(), unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT)
+	if s.stepsClock {
+		if err := syscallfault.UseSystemCallClock(cmd, dir); err != nil {
+			return err
+		}
+		calls = append(calls, unix.SYS_CLOCK_GETTIME)
 	}
-	calls := append(syscallfault.FolderCalls(), unix.SYS_CLOCK_GETTIME, unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT)
 	_, err := syscallfault.Start(cmd, calls, s.decide)
 	return err
 }
@@ -162,6 +166,11 @@
 	}}
 )
 
+// stepsClock reports whether a fault steps the wall clock.
+func (f processFault) stepsClock() bool {
+	return f.description == clockSteppedInRestart.description || f.description == clockSteppedInUpgrade.description
+}
+
 // restartInFolderFault ends the process by end while its folder fails, and starts the next one, in whose start the fault
 // may last.
 func (s *managedSender) restartInFolderFault(rng *rand.Rand, end func()) error {
