--- a/internal/node/actions.go
+++ b/internal/node/actions.go
@@ -78,8 +78,8 @@
 // reportDeniedCall tells the decision logic after retryDelay that a call was not sent, since the guard has denied it.
 func (n *Node) reportDeniedCall(a logic.CallOut) {
 	h := n.held[a.ID]
-	if h == nil { // not journaled in this step, so never accepted
-		n.nextEvents = append(n.nextEvents, logic.AttemptResult{ID: a.ID, MessageEnded: true, Endpoint: a.Endpoint, Outcome: logic.NotSent})
+	if h == nil {
+		n.reportUnacceptedCall(a)
 		return
 	}
 	ev := replyEvent{&call{id: a.ID, attempt: h.attempts, endpoint: a.Endpoint, state: new(atomic.Int32)}, callResult{outcome: logic.NotSent}, 0}
--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -51,8 +51,8 @@
 	if idleConn != nil && (h == nil || !journaled) {
 		n.transport.returnUnused(a.Endpoint, idleConn)
 	}
-	if h == nil { // never accepted; the decision logic still needs the one outcome of the attempt
-		n.nextEvents = append(n.nextEvents, logic.AttemptResult{ID: a.ID, MessageEnded: true, Endpoint: a.Endpoint, Outcome: logic.NotSent})
+	if h == nil {
+		n.reportUnacceptedCall(a)
 		return
 	}
 	attempt := h.attempts
@@ -91,6 +91,11 @@
 	}()
 }
 
+// reportUnacceptedCall gives the decision logic the one outcome of an attempt whose message was not accepted.
+func (n *Node) reportUnacceptedCall(a logic.CallOut) {
+	n.nextEvents = append(n.nextEvents, logic.AttemptResult{ID: a.ID, MessageEnded: true, Endpoint: a.Endpoint, Outcome: logic.NotSent})
+}
+
 // withholdCalls prevents the writing of calls that are still connecting: the decision behind them is outdated, and they
 // would reach the endpoint long after it. They end with the outcome NotSent.
 func (n *Node) withholdCalls(match func(endpoint logic.EndpointID) bool) {
--- a/internal/node/listen.go
+++ b/internal/node/listen.go
@@ -19,15 +19,14 @@
 // listenPatiently calls listen until it succeeds, fails for another reason than a transient one of this host, or ctx is
 // done.
 func listenPatiently(ctx context.Context, log *slog.Logger, listen func() (net.Listener, error)) (net.Listener, error) {
-	var warnedAt time.Time
+	warning := logInterval{interval: listenWarningInterval}
 	for {
 		ln, err := listen()
 		if err == nil || !neterror.IsLocal(err) && !errors.Is(err, syscall.EADDRINUSE) {
 			return ln, err
 		}
-		if time.Since(warnedAt) > listenWarningInterval {
+		if warning.due() {
 			log.Error("cannot listen, trying again", "err", err)
-			warnedAt = time.Now()
 		}
 		select {
 		case <-ctx.Done():
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -49,7 +49,7 @@
 // state folder that fails. The result is nil if it got the lock, and the journal is replayed then.
 func (n *Node) takeOver(ctx context.Context) (*takeover, error) {
 	tooLarge := false // the state does not fit in one text: wait for the owner to end, since each request stalls it
-	var warnedAt time.Time
+	warning := logInterval{interval: stateWarningInterval}
 	for attempts := 0; ; attempts++ {
 		var err error
 		if n.lockFile == nil { // another process may be the owner
@@ -67,9 +67,8 @@
 		if err = n.acquireState(); err == nil {
 			return nil, nil
 		}
-		if !errors.Is(err, errStateLocked) && time.Since(warnedAt) > stateWarningInterval {
+		if !errors.Is(err, errStateLocked) && warning.due() {
 			n.log.Error("the state folder fails, trying again", "err", err)
-			warnedAt = time.Now()
 		}
 		select {
 		case <-ctx.Done():
