Soak: do not end the supervision of system calls at a poll that a signal interrupts

Trace: n3's log ends at 55.618, in a storm of 200 closed connections, and goes on only with the next process at 57.682 (SIGKILL was planned for 57.02); the other senders logged all the time. The six connections were closed within the next 0.13 s with all read, then clients only timed out: the picture of a process each of whose reported calls (write, pwrite64, accept4) fails with ENOSYS, that is, whose supervisor has ended. The supervisor took any event but POLLIN for the end of its process. The kernel's seccomp_notify_poll returns EPOLLERR when a signal interrupts it while it waits for the listener's lock, which many reporting threads and the Go runtime's signals make likelier. Not forced on a real poll; the end by POLLERR is by reading, the rest by the trace.

Change: only POLLHUP is the end. Why a supervisor or the reading of a log ended otherwise is a violation "harness" of its own, so that this cannot look like the program's fault again.

--- a/internal/httpconn/transport_test.go
+++ b/internal/httpconn/transport_test.go
@@ -117,9 +117,20 @@
 
 const goodAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood"
 
+func awaitResult(t *testing.T, results <-chan result) result {
+	t.Helper()
+	select {
+	case r := <-results:
+		return r
+	case <-time.After(testTimeout):
+		t.Fatal("the request does not end")
+	}
+	panic("unreachable")
+}
+
 func expectGood(t *testing.T, results <-chan result) {
 	t.Helper()
-	if r := <-results; r.err != nil || r.body != "good" {
+	if r := awaitResult(t, results); r.err != nil || r.body != "good" {
 		t.Errorf("got %+v, want the good answer", r)
 	}
 }
@@ -170,7 +181,7 @@
 		results = s.do(t.Context(), client, method)
 		s.await(t).close()
 		if !repeated {
-			if r := <-results; r.err == nil || len(s.requests) != 0 {
+			if r := awaitResult(t, results); r.err == nil || len(s.requests) != 0 {
 				t.Errorf("%s: got %+v and %d more requests, want an error", method, r, len(s.requests))
 			}
 			continue
@@ -207,7 +218,7 @@
 		io.WriteString(request.conn, begun)
 		time.Sleep(20 * time.Millisecond)
 		cancel()
-		if r := <-results; !errors.Is(r.err, context.Canceled) {
+		if r := awaitResult(t, results); !errors.Is(r.err, context.Canceled) {
 			t.Errorf("%q: got %+v, want the context's error", begun, r)
 		}
 		if n := client.Transport.(*Transport).pool.Len(); n != 0 {
@@ -227,12 +238,7 @@
 			_, err = fmt.Fprintf(request.conn, "X-%d: more\r\n", i)
 		}
 	}()
-	select {
-	case r := <-results:
-		if r.err == nil {
-			t.Errorf("got %+v, want an error", r)
-		}
-	case <-time.After(testTimeout):
-		t.Error("the request does not end")
+	if r := awaitResult(t, results); r.err == nil {
+		t.Errorf("got %+v, want an error", r)
 	}
 }
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -129,6 +129,9 @@
 // checkProcesses checks how a sender's processes ended, and reports the rule violations and crashes in their logs.
 func (h *Harness) checkProcesses(report *Report, sender *managedSender) {
 	for _, run := range sender.history() {
+		if run.HarnessErr != nil {
+			report.addViolation("harness", "%s, started %s: %v", sender.name, run.StartedAt.Format(clockFormat), run.HarnessErr)
+		}
 		for _, line := range run.BadLines {
 			report.addViolation("guard", "%s: %s", sender.name, line)
 		}
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -21,6 +21,7 @@
 	KilledAt     time.Time // when SIGKILL was sent; zero if it was not
 	EndedAt      time.Time
 	Err          error    // exit error of the process
+	HarnessErr   error    // why its log or its system calls were not served to the end; nil if they were
 	BadLines     []string // log lines that report a broken rule or a crash
 }
 
@@ -94,7 +95,8 @@
 		return nil, err
 	}
 	run, ready, done := &processRun{StartedAt: time.Now()}, make(chan struct{}), make(chan struct{})
-	if err := s.systemCalls.start(cmd, s.dir); err != nil {
+	supervisorEnded, err := s.systemCalls.start(cmd, s.dir)
+	if err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
@@ -104,7 +106,8 @@
 	go func() {
 		defer log.Close()
 		isReady := false
-		for scanner := bufio.NewScanner(out); scanner.Scan(); {
+		scanner := bufio.NewScanner(out)
+		for scanner.Scan() {
 			line := scanner.Text()
 			fmt.Fprintln(log, line)
 			s.mu.Lock()
@@ -117,8 +120,16 @@
 			}
 			s.mu.Unlock()
 		}
+		harnessErrs := []error{scanner.Err()}
 		err := cmd.Wait()
+		if supervisorEnded != nil {
+			harnessErrs = append(harnessErrs, <-supervisorEnded)
+		}
+		if harnessErr := errors.Join(harnessErrs...); harnessErr != nil {
+			fmt.Fprintln(log, "soak: the process ran without its log or supervisor:", harnessErr)
+		}
 		s.mu.Lock()
+		run.HarnessErr = errors.Join(harnessErrs...)
 		run.EndedAt, run.Err = time.Now(), err
 		s.mu.Unlock()
 		close(done)
--- a/internal/soak/system_calls.go
+++ b/internal/soak/system_calls.go
@@ -47,20 +47,24 @@
 	return &systemCalls{folder: syscallfault.NewFolder(stateDir), rng: rand.New(rand.NewPCG(seed, uint64(700+senderIndex)))}
 }
 
-// start starts a command under the filter. What it needs for that is built in dir.
-func (s *systemCalls) start(cmd *exec.Cmd, dir string) error {
+// start starts a command under the filter. What it needs for that is built in dir. The channel gets why its supervisor
+// has ended, nil at the end of the process; it is nil without a filter.
+func (s *systemCalls) start(cmd *exec.Cmd, dir string) (supervisorEnded <-chan error, err error) {
 	if s == nil {
-		return cmd.Start()
+		return nil, cmd.Start()
 	}
 	calls := append(syscallfault.FolderCalls(), unix.SYS_ACCEPT4, unix.SYS_SOCKET, unix.SYS_CONNECT)
 	if s.stepsClock {
 		if err := syscallfault.UseSystemCallClock(cmd, dir); err != nil {
-			return err
+			return nil, err
 		}
 		calls = append(calls, unix.SYS_CLOCK_GETTIME)
 	}
-	_, err := syscallfault.Start(cmd, calls, s.decide)
-	return err
+	supervisor, err := syscallfault.Start(cmd, calls, s.decide)
+	if err != nil {
+		return nil, err
+	}
+	return supervisor.Ended(), nil
 }
 
 // decide is the handler of the processes' calls.
--- a/internal/syscallfault/launch.go
+++ b/internal/syscallfault/launch.go
@@ -100,7 +100,7 @@
 		cmd.Process.Kill()
 		return nil, fmt.Errorf("launcher: %w", err)
 	}
-	s := &Supervisor{listener: listener, handler: handler}
+	s := &Supervisor{listener: listener, handler: handler, ended: make(chan error, 1)}
 	go s.run()
 	return s, nil
 }
--- a/internal/syscallfault/supervisor.go
+++ b/internal/syscallfault/supervisor.go
@@ -1,6 +1,7 @@
 package syscallfault
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"syscall"
@@ -63,21 +64,34 @@
 type Supervisor struct {
 	listener int
 	handler  Handler
+	ended    chan error // gets why the supervisor has ended
 }
 
+// Ended returns a channel that gets why the supervisor has ended: nil at the end of the process. A process that goes on
+// without its supervisor gets ENOSYS from each reported call.
+func (s *Supervisor) Ended() <-chan error { return s.ended }
+
 func (s *Supervisor) run() {
 	defer unix.Close(s.listener)
+	s.ended <- s.supervise()
+}
+
+func (s *Supervisor) supervise() error {
 	for {
 		poll := []unix.PollFd{{Fd: int32(s.listener), Events: unix.POLLIN}}
 		n, err := unix.Poll(poll, pollIntervalMillis)
 		if err != nil && err != unix.EINTR {
-			return
+			return fmt.Errorf("poll: %w", err)
 		}
 		if n <= 0 {
 			continue
 		}
-		if poll[0].Revents&unix.POLLIN == 0 {
-			return // the process has ended
+		callWaits, ended, err := listenerState(poll[0].Revents)
+		if ended || err != nil {
+			return err
+		}
+		if !callWaits {
+			continue
 		}
 		var received notification
 		if _, _, errno := unix.Syscall(unix.SYS_IOCTL, uintptr(s.listener), ioctlReceive, uintptr(unsafe.Pointer(&received))); errno != 0 {
@@ -96,6 +110,16 @@
 	}
 }
 
+// listenerState says what the events of a poll mean. POLLERR alone is no end: the kernel gives it when a signal, such as
+// one of the Go runtime, interrupts the poll while it waits for the lock of the listener.
+func listenerState(events int16) (callWaits, ended bool, err error) {
+	if events&unix.POLLNVAL != 0 {
+		return false, false, errors.New("the listener is closed")
+	}
+	callWaits = events&unix.POLLIN != 0
+	return callWaits, !callWaits && events&unix.POLLHUP != 0, nil
+}
+
 func (s *Supervisor) respond(id uint64, call Call, decision Decision) {
 	r := response{id: id}
 	switch {
