Do not let posts that fail at once delay the repeat of a post without an answer

Cause: both kinds of posts counted together. After ten posts that failed at once, a post without an answer was repeated after 0.4 s in place of 0.05 s.

TestUnansweredNoticeIsSentAgainSoonAfterFailedPosts forces it: repeated after 401 ms before.

Change: each kind has its own count and its own growing delay.

Beside it a test that the second opSend of an attempt counts once, which a fault put in on purpose had shown to be missing.

--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -289,3 +289,16 @@
 		t.Errorf("%v, %d bytes left, want %d", err, len(after), len(before))
 	}
 }
+
+// A call that goes over another connection has its opSend record twice: it is one attempt, and its time is the later one.
+func TestSecondSendRecordOfAnAttemptIsNoFurtherAttempt(t *testing.T) {
+	j := openJournal(t, t.TempDir(), 0)
+	mustAppend(t, j, acceptRecord("a", 10), record{Op: opSend, ID: "a", SentAt: 1}, record{Op: opSend, ID: "a", SentAt: 2, Zone: 1})
+	if e := j.Entry("a"); e.Attempts != 1 || !e.MaybeWritten || e.FirstMayHaveRunAt != 2 || e.FirstZone != 1 {
+		t.Errorf("entry %+v, want one attempt sent at 2", e)
+	}
+	mustAppend(t, j, record{Op: opOutcome, ID: "a", MayHaveRun: true}, record{Op: opSend, ID: "a", SentAt: 3})
+	if e := j.Entry("a"); e.Attempts != 2 || e.FirstMayHaveRunAt != 2 {
+		t.Errorf("entry %+v, want a second attempt", e)
+	}
+}
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -12,6 +12,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -46,16 +47,17 @@
 // queuedNotice is a notice that the platform has not confirmed.
 type queuedNotice struct {
 	Notice
-	posts     int       // made so far
-	postAt    time.Time // when the next one is due
-	notSent   bool      // no connection came up for the last post
-	avoidKept bool      // a post got no answer, perhaps since the kept connection has fallen silent
+	unanswered int       // posts that have not failed
+	failed     int       // posts that have
+	postAt     time.Time // when the next one is due
+	notSent    bool      // no connection came up for the last post
+	avoidKept  bool      // a post got no answer, perhaps since the kept connection has fallen silent
 }
 
-// repeatDelay returns how long to wait before the next post: first, doubled with each post after the given number.
-func (q *queuedNotice) repeatDelay(first time.Duration, equalDelays int) time.Duration {
+// growingDelay returns how long to wait after a number of posts: first, doubled with each post after equalDelays.
+func growingDelay(posts int, first time.Duration, equalDelays int) time.Duration {
 	delay := first
-	for range q.posts - equalDelays {
+	for range posts - equalDelays {
 		if delay *= 2; delay >= noticeMaxRepeat {
 			return noticeMaxRepeat
 		}
@@ -168,14 +170,14 @@
 			wait = min(wait, left)
 			continue
 		}
-		if q.posts > 0 {
+		if q.unanswered+q.failed > 0 {
 			n.counts.repeated++
 			q.avoidKept = q.avoidKept || !q.notSent
 		}
 		avoidKept = avoidKept || q.avoidKept
-		q.posts++
+		q.unanswered++ // unless it fails
 		q.notSent = false
-		q.postAt = now.Add(q.repeatDelay(noticeFirstRepeat, noticeEqualRepeats))
+		q.postAt = now.Add(growingDelay(q.unanswered, noticeFirstRepeat, noticeEqualRepeats))
 		if post.notices = append(post.notices, q.Notice); len(post.notices) == maxNoticesPerPost {
 			break
 		}
@@ -241,7 +243,14 @@
 	n.counts.failed++
 	failedIDs := noticeIDs(failed)
 	for _, q := range n.queue {
-		if retryAt := now.Add(q.repeatDelay(noticeFirstRetry, noticeEqualRetries)); failedIDs[q.ID] && retryAt.Before(q.postAt) {
+		if !failedIDs[q.ID] {
+			continue
+		}
+		if !errors.Is(err, context.DeadlineExceeded) { // otherwise it got no answer for all of its time
+			q.unanswered--
+			q.failed++
+		}
+		if retryAt := now.Add(growingDelay(q.failed, noticeFirstRetry, noticeEqualRetries)); retryAt.Before(q.postAt) {
 			q.postAt, q.notSent = retryAt, neterror.IsDial(err)
 		}
 	}
--- a/internal/node/notices_test.go
+++ b/internal/node/notices_test.go
@@ -71,3 +71,40 @@
 		t.Error("confirmed notice was sent again")
 	}
 }
+
+// Posts that fail at once, as while this host has no socket, must not delay the repeat of a post without an answer.
+func TestUnansweredNoticeIsSentAgainSoonAfterFailedPosts(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := ln.Addr().String()
+	ln.Close() // posts fail from now on
+	n := newNoticeQueue(addr, slog.New(slog.DiscardHandler), make(chan any, 8), nil)
+	go n.run(t.Context())
+	n.add(Notice{ID: "a", State: "failed"})
+	time.Sleep(15 * noticeFirstRetry)
+	if ln, err = net.Listen("tcp", addr); err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	received := make(chan time.Time, 8)
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			t.Cleanup(func() { conn.Close() })
+			go func() {
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					received <- time.Now()
+				}
+			}()
+		}
+	}()
+	first := await(t, received, "notice")
+	if gap := await(t, received, "notice again").Sub(first); gap > noticeFirstRepeat+timeSlack {
+		t.Errorf("sent again after %v, want %v", gap, noticeFirstRepeat)
+	}
+}
