--- a/internal/node/journal_crash_test.go
+++ b/internal/node/journal_crash_test.go
@@ -330,3 +330,30 @@
 	}
 	t.Logf("%d runs", runs)
 }
+
+// Records of the backlog that a failed write left whole in the file must not be written again: the outcome of an attempt
+// would end the attempt behind it, and a kill would forget that this one may have run.
+func TestBacklogThatAFailedWriteLeftIsNotWrittenAgain(t *testing.T) {
+	files := &memoryFiles{content: map[string]*memoryContent{}}
+	j, err := openJournalOn(files, "state", 8000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	mustAppend(t, j, acceptRecord("a", 10), record{Op: opSend, ID: "a", SentAt: 1})
+	files.failUntil = 1 << 30 // all changes fail from now on
+	if j.Append([]record{{Op: opOutcome, ID: "a"}}) == nil {
+		t.Error("no error though nothing was written")
+	}
+	files.writtenPart = 1
+	if j.Append([]record{{Op: opSend, ID: "a", SentAt: 2}}) == nil || j.Entry("a").Attempts != 2 {
+		t.Errorf("no error, or the record that is in the file was not applied: %+v", j.Entry("a"))
+	}
+	files.failUntil = 0
+	mustAppend(t, j, acceptRecord("b", 10))
+	if j, err = openJournalOn(files, "state", 8000); err != nil {
+		t.Fatal(err)
+	}
+	if e := j.Entry("a"); e == nil || !e.MaybeWritten || e.Attempts != 2 || j.Entry("b") == nil {
+		t.Errorf("after a restart %+v, want the second attempt, which may have run", e)
+	}
+}
