Try a failing folder again only every 10 ms, and log each confirmed notice

Cause: while the folder fails, each append of the loop wrote, truncated and rewrote in vain, up to six failing system calls for each record and each permission to write.

Change: after a write that failed, appends fail at once for 10 ms; a flush still tries, and the repair every 20 ms does.

Evidence: TestFailingFolderIsNotTriedForEachRecord did not compile before, and fails without the change. TestFailedJournalWriteChangesNothing waits for the 10 ms before its next append, with the same checks.

--- a/internal/node/journal.go
+++ b/internal/node/journal.go
@@ -26,6 +26,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"time"
 
 	"crossdeal/internal/clock"
 	"crossdeal/internal/wal"
@@ -42,11 +43,16 @@
 	maxAnchorBytes  = 256 // of the record of an anchor
 	// maxJournalFileBytes bounds a file where the platform sets no tighter limit; files may count as memory.
 	maxJournalFileBytes = 16 << 20
+	// folderRetryDelay is the time after a write that failed in which appends fail without another attempt.
+	folderRetryDelay = 10 * time.Millisecond
 )
 
 // errJournalFull means that records do not fit in the journal, even after a rewrite.
 var errJournalFull = errors.New("journal full")
 
+// errFolderFailing means that the last write failed a moment ago.
+var errFolderFailing = errors.New("the state folder fails")
+
 // Journal keeps accepted messages in a file that outlives the process. Records are appended; a file that reaches its
 // limit is rewritten with the entries that are left. It is not safe for concurrent use.
 type Journal struct {
@@ -67,6 +73,8 @@
 	failing        bool   // the last write has failed
 	tailDirty      bool   // bytes of a failed write may follow size
 	tailUnknown    bool   // with tailDirty: they may hold whole records
+	retryDelay     time.Duration
+	retryAt        time.Time // appends fail at once before this: the last write has failed
 }
 
 // journalFileLimit returns the limit of the journal's file for a disk limit; diskBytes is 0 where there is none. Two
@@ -81,7 +89,12 @@
 // OpenJournal replays the journal in dir, cuts off a torn end and opens it for appending. Together its files stay under
 // diskBytes.
 func OpenJournal(dir string, diskBytes int64) (*Journal, error) {
-	return openJournalOn(systemFiles{}, dir, diskBytes)
+	j, err := openJournalOn(systemFiles{}, dir, diskBytes)
+	if err != nil {
+		return nil, err
+	}
+	j.retryDelay = folderRetryDelay
+	return j, nil
 }
 
 func openJournalOn(files fileSystem, dir string, diskBytes int64) (*Journal, error) {
--- a/internal/node/journal_crash_test.go
+++ b/internal/node/journal_crash_test.go
@@ -357,3 +357,27 @@
 		t.Errorf("after a restart %+v, want the second attempt, which may have run", e)
 	}
 }
+
+// While the folder fails, an append must not try to write and to repair the file for each record: each attempt may take
+// long, and the loop would decide on the ends of messages too late.
+func TestFailingFolderIsNotTriedForEachRecord(t *testing.T) {
+	files := &memoryFiles{content: map[string]*memoryContent{}}
+	j, err := openJournalOn(files, "state", 8000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	j.retryDelay = time.Hour
+	mustAppend(t, j, acceptRecord("a", 10))
+	files.failUntil = 1 << 30 // all changes fail from now on
+	for range 3 {
+		j.Append([]record{acceptRecord("b", 10), {Op: opSend, ID: "a", SentAt: 1}, {Op: opOutcome, ID: "a"}})
+	}
+	if operations := files.operations; j.Append([]record{acceptRecord("b", 10)}) == nil || files.operations != operations || j.Entry("b") != nil {
+		t.Errorf("%d operations for an append soon after a failed one, want 0 and an error", files.operations-operations)
+	}
+	files.failUntil = 0
+	if err := j.Flush(); err != nil || !j.Saved() {
+		t.Errorf("a flush does not try: %v", err)
+	}
+	mustAppend(t, j, acceptRecord("b", 10))
+}
--- a/internal/node/journal_record.go
+++ b/internal/node/journal_record.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 
 	"crossdeal/internal/clock"
@@ -81,6 +82,8 @@
 	return false
 }
 
+var errRecordTooLarge = errors.New("record exceeds the limit")
+
 // appendRecord appends a record in its frame to b.
 func appendRecord(b []byte, rec record) ([]byte, error) {
 	body, err := json.Marshal(rec)
@@ -88,7 +91,7 @@
 		return b, err
 	}
 	if len(body) > maxRecordBytes {
-		return b, fmt.Errorf("record of %d bytes exceeds the limit", len(body))
+		return b, fmt.Errorf("%w: %d bytes", errRecordTooLarge, len(body))
 	}
 	return wal.Append(b, body), nil
 }
--- a/internal/node/journal_test.go
+++ b/internal/node/journal_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"crossdeal/internal/wal"
 )
@@ -202,6 +203,7 @@
 	if j.Entry("c") != nil || j.Entry("b").Attempts != 0 || j.Entry("a") != nil {
 		t.Errorf("after the error: a %v, b %+v, c %v", j.Entry("a"), j.Entry("b"), j.Entry("c"))
 	}
+	time.Sleep(folderRetryDelay)
 	mustAppend(t, j, acceptRecord("d", 10)) // into a new file
 	original.Close()
 	reopened := openJournal(t, dir, 3e6)
--- a/internal/node/journal_write.go
+++ b/internal/node/journal_write.go
@@ -9,6 +9,7 @@
 	"io"
 	"os"
 	"slices"
+	"time"
 
 	"crossdeal/internal/wal"
 )
@@ -22,7 +23,10 @@
 	if len(recs) == 0 {
 		return nil
 	}
-	written, err := j.write(recs)
+	written, err := 0, errFolderFailing
+	if !time.Now().Before(j.retryAt) {
+		written, err = j.write(recs)
+	}
 	for _, rec := range recs[written:] {
 		if rec.Op.announces() {
 			continue
@@ -58,8 +62,19 @@
 	return err
 }
 
-// write writes the backlog and then recs. It applies the records that are in the file and returns their number.
+// write is writeNow and, after an error of the folder, makes appends fail at once for retryDelay: each attempt to write
+// and to repair the file may take long while the folder fails, and the loop waits for it.
 func (j *Journal) write(recs []record) (written int, err error) {
+	written, err = j.writeNow(recs)
+	j.retryAt = time.Time{}
+	if err != nil && !errors.Is(err, errJournalFull) && !errors.Is(err, errRecordTooLarge) {
+		j.retryAt = time.Now().Add(j.retryDelay)
+	}
+	return written, err
+}
+
+// writeNow writes the backlog and then recs. It applies the records that are in the file and returns their number.
+func (j *Journal) writeNow(recs []record) (written int, err error) {
 	encoded := make([][]byte, len(recs))
 	for i, rec := range recs {
 		if encoded[i], err = appendRecord(nil, rec); err != nil {
--- a/internal/node/notices.go
+++ b/internal/node/notices.go
@@ -47,6 +47,7 @@
 // queuedNotice is a notice that the platform has not confirmed.
 type queuedNotice struct {
 	Notice
+	queuedAt   time.Time
 	unanswered int       // posts that have not failed
 	failed     int       // posts that have
 	postAt     time.Time // when the next one is due
@@ -110,7 +111,7 @@
 // add queues a notice. It never blocks.
 func (n *noticeQueue) add(notice Notice) {
 	n.mu.Lock()
-	n.queue = append(n.queue, &queuedNotice{Notice: notice})
+	n.queue = append(n.queue, &queuedNotice{Notice: notice, queuedAt: time.Now()})
 	n.mu.Unlock()
 	n.wakeUp()
 }
@@ -227,6 +228,8 @@
 		if !confirmedIDs[q.ID] {
 			return false
 		}
+		n.log.Debug("notice confirmed", "id", q.ID, "state", q.State, "took", time.Since(q.queuedAt).String(), "posts_failed", q.failed,
+			"posts_unanswered", q.unanswered-1)
 		ids = append(ids, q.ID)
 		return true
 	})
