Close the kept connections after a request without an answer

What callers would have seen: calls to an endpoint that drains for up to 0.15 s longer, where all connections to the agent fall silent at once.

Change: a request that fails or is cancelled closes all kept connections to its server; the next one opens a new connection, as before.

--- a/internal/httpconn/transport.go
+++ b/internal/httpconn/transport.go
@@ -75,13 +75,15 @@
 // errNoAnswer means that a connection ended before the first byte of an answer.
 var errNoAnswer = errors.New("the connection ended without an answer")
 
-// exchange writes a request and reads the head of its answer. On an error the connection is closed.
+// exchange writes a request and reads the head of its answer. On an error the connection is closed, and the kept ones
+// with it: what broke or silenced one may have done the same to the others.
 func (t *Transport) exchange(conn *Conn, request *http.Request, encoded []byte) (*http.Response, error) {
 	ctx := request.Context()
 	stopInterrupt := conn.InterruptOnCancel(ctx)
 	fail := func(err error) (*http.Response, error) {
 		stopInterrupt()
 		conn.Close()
+		t.pool.CloseKey(conn.addr)
 		if ctx.Err() != nil {
 			err = ctx.Err()
 		}
@@ -109,6 +111,9 @@
 			return
 		}
 		conn.Close()
+		if ctx.Err() != nil {
+			t.pool.CloseKey(conn.addr)
+		}
 	}
 	response.Body = body
 	return response, nil
--- a/internal/httpconn/transport_test.go
+++ b/internal/httpconn/transport_test.go
@@ -104,8 +104,8 @@
 			results <- result{err: err}
 			return
 		}
-		defer response.Body.Close()
 		body, err := io.ReadAll(response.Body)
+		response.Body.Close()
 		results <- result{string(body), err}
 	}()
 	return results
@@ -227,6 +227,31 @@
 	}
 }
 
+// After a request without an answer the next one goes over a new connection, however many are kept: these may have fallen
+// silent together.
+func TestSilentRequestClosesKeptConnections(t *testing.T) {
+	for _, begun := range []string{"", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ngood"} {
+		s, client := startTestServer(t), newTestHTTPClient()
+		first, second := s.do(t.Context(), client, http.MethodGet), s.do(t.Context(), client, http.MethodGet)
+		for range 2 {
+			s.await(t).answer(goodAnswer)
+		}
+		expectGood(t, first)
+		expectGood(t, second)
+		time.Sleep(2 * ReuseDelay)
+		ctx, cancel := context.WithCancel(t.Context())
+		silent := s.do(ctx, client, http.MethodGet)
+		request := s.await(t)
+		io.WriteString(request.conn, begun)
+		time.Sleep(20 * time.Millisecond)
+		cancel()
+		awaitResult(t, silent)
+		if n := client.Transport.(*Transport).pool.Len(); n != 0 {
+			t.Errorf("%q: %d connections kept", begun, n)
+		}
+	}
+}
+
 // A head without end is an error and not memory without bound.
 func TestEndlessHeadIsAnError(t *testing.T) {
 	s, client := startTestServer(t), newTestHTTPClient()
