--- a/review/1/main.go
+++ b/review/1/main.go
@@ -117,7 +117,7 @@
 		fmt.Println(err)
 		return 2
 	}
-	sender := &kit.Sender{Root: root, Dir: dir, Listen: listen, Discovery: agent.Addr, Settings: kit.Settings(), Known: agent.List(), Record: record}
+	sender := &kit.Sender{Name: "n1", Root: root, Dir: dir, Listen: listen, Discovery: agent.Addr, Settings: kit.Settings(), Known: agent.List(), Record: record}
 	process, err := sender.Start("")
 	if err != nil {
 		fmt.Println(err)
--- a/review/kit/sender.go
+++ b/review/kit/sender.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -18,6 +19,7 @@
 
 // Sender is one sender: its folder, its addresses and its configuration.
 type Sender struct {
+	Name      string
 	Root      string // of the repository
 	Dir       string // temporary; holds the state folder, the configuration and the logs
 	Listen    string
@@ -63,7 +65,7 @@
 			return nil, err
 		}
 	}
-	config, err := json.Marshal(map[string]any{"name": "n1", "listen": s.Listen, "discovery": s.Discovery, "operator": operator,
+	config, err := json.Marshal(map[string]any{"name": s.Name, "listen": s.Listen, "discovery": s.Discovery, "operator": operator,
 		"seed":   fmt.Sprintf("%016x", 0x8c1f30d27a5be964+uint64(s.processes)),
 		"limits": map[string]any{"cores": 1.0, "memory_mb": 128, "sockets": 512, "disk_mb": 3},
 		"known":  s.Known, "settings": s.Settings})
@@ -75,7 +77,7 @@
 		return nil, err
 	}
 	s.processes++
-	p := &Process{Name: fmt.Sprintf("process %d", s.processes), done: make(chan struct{})}
+	p := &Process{Name: fmt.Sprintf("%s, process %d", s.Name, s.processes), done: make(chan struct{})}
 	log, err := os.Create(filepath.Join(s.Dir, fmt.Sprintf("log.%d", s.processes)))
 	if err != nil {
 		return nil, err
@@ -89,7 +91,7 @@
 			p.cmd.Env = append(p.cmd.Env, v)
 		}
 	}
-	p.cmd.Env = append(p.cmd.Env, "BALANCER_NAME=n1", "BALANCER_LISTEN="+s.Listen, "BALANCER_DISCOVERY="+s.Discovery,
+	p.cmd.Env = append(p.cmd.Env, "BALANCER_NAME="+s.Name, "BALANCER_LISTEN="+s.Listen, "BALANCER_DISCOVERY="+s.Discovery,
 		"BALANCER_STATE="+state, "BALANCER_CONFIG="+path, "TMPDIR="+tmp, "BALANCER_LOG=debug")
 	if operator != "" {
 		p.cmd.Env = append(p.cmd.Env, "BALANCER_OPERATOR="+operator)
@@ -171,9 +173,10 @@
 	return strings.TrimSpace(line)
 }
 
-// FreeAddress returns a loopback address with a free port.
+// FreeAddress returns a loopback address with a free port. The host is one that no connection comes from by itself, so that
+// none takes the port meanwhile.
 func FreeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+rand.IntN(64), rand.IntN(256), 1+rand.IntN(254)))
 	if err != nil {
 		return "", err
 	}
