--- a/review/build.sh
+++ b/review/build.sh
@@ -1,10 +1,10 @@
 #!/bin/sh
 # Builds the stand-ins and the checks of all cases into review/bin. It needs the Go tool chain and no network.
 set -e
-cd "$(dirname "$0")"
-mkdir -p bin
+cd "$(dirname "$0")/.."
+mkdir -p review/bin
 for case in 1 2 3; do
-	if [ -f "$case/main.go" ]; then
-		GOWORK=off go build -o "bin/case$case" "./$case"
+	if [ -f "review/$case/main.go" ]; then
+		go build -o "review/bin/case$case" "./review/$case"
 	fi
 done
