Run the system call faults of the tests on arm64 as well

The filter named the audit architecture of x86-64 alone, so nine tests of internal/node ended with an error on arm64. It now takes the number of the architecture that the program is built for.

--- a/internal/syscallfault/filter.go
+++ b/internal/syscallfault/filter.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"unsafe"
 
 	"golang.org/x/sys/unix"
@@ -14,6 +15,12 @@
 	firstArgOffset     = 16
 )
 
+// auditArchitectures holds the kernel's number of each supported architecture, by its name in package runtime.
+var auditArchitectures = map[string]uint32{
+	"amd64": unix.AUDIT_ARCH_X86_64,
+	"arm64": unix.AUDIT_ARCH_AARCH64,
+}
+
 // installFilter installs a filter on the calling thread that reports the given calls, and returns its notification
 // descriptor.
 func installFilter(calls []int) (listener int, err error) {
@@ -44,7 +51,7 @@
 	}
 	filter := []unix.SockFilter{
 		load(architectureOffset),
-		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: 1, K: unix.AUDIT_ARCH_X86_64},
+		{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: 1, K: auditArchitectures[runtime.GOARCH]},
 		result(unix.SECCOMP_RET_ALLOW),
 		load(numberOffset),
 	}
--- a/internal/syscallfault/launch.go
+++ b/internal/syscallfault/launch.go
@@ -1,5 +1,5 @@
 // Package syscallfault runs a program under a seccomp filter with user notification and lets chosen system calls of it
-// fail, end short or come late. It needs Linux on amd64 and no special rights.
+// fail, end short or come late. It needs Linux on amd64 or arm64 and no special rights.
 //
 // The supervising process starts itself again as a launcher, which installs the filter, passes the notification
 // descriptor to the supervisor over a socket and then executes the program. The filter lives in that process alone.
@@ -27,7 +27,7 @@
 )
 
 // errNotSupported means that this machine cannot run a program under a filter.
-var errNotSupported = errors.New("system call faults need Linux on amd64")
+var errNotSupported = errors.New("system call faults need Linux on amd64 or arm64")
 
 // LaunchIfRequested executes the program that Start has asked for, and does not return then. Every program that calls
 // Start must call it first.
@@ -69,7 +69,7 @@
 // is called for one call at a time. A call of clock_gettime is reported for CLOCK_REALTIME only, and only if the program
 // was started with the preload library of UseSystemCallClock.
 func Start(cmd *exec.Cmd, calls []int, handler Handler) (*Supervisor, error) {
-	if runtime.GOARCH != "amd64" {
+	if _, supported := auditArchitectures[runtime.GOARCH]; !supported {
 		return nil, errNotSupported
 	}
 	pair, err := unix.Socketpair(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
