--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -13,7 +13,8 @@
 // play plays a case, with the disruption if trouble is set. It returns the breaks of the rule.
 type play func(rec *record, root, dir string, trouble bool) (broken []string, err error)
 
-var plays = map[string]play{"slow-discovery": playSlowDiscovery, "upgrade-kill": playUpgradeKill, "restart-slots": playRestartSlots}
+var plays = map[string]play{"slow-discovery": playSlowDiscovery, "upgrade-kill": playUpgradeKill, "restart-slots": playRestartSlots,
+	"fleet-return": playFleetReturn, "silent-restart": playSilentRestart}
 
 func main() {
 	name := flag.String("case", "", "name of the case")
--- a/review/kit2/process.go
+++ b/review/kit2/process.go
@@ -24,6 +24,7 @@
 	dir       string
 	listen    string
 	discovery string
+	seed      string
 	known     list
 	settings  map[string]any
 	limits    map[string]any
@@ -77,7 +78,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &sender{rec: rec, root: root, dir: dir, listen: listen, settings: defaultSettings(senders),
+	s := &sender{rec: rec, root: root, dir: dir, listen: listen, seed: "8c1f30d27a5be964", settings: defaultSettings(senders),
 		limits: map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3}}
 	return s, os.MkdirAll(filepath.Join(dir, "state"), 0o700)
 }
@@ -107,7 +108,7 @@
 func (s *sender) configPath() string { return filepath.Join(s.dir, "config.json") }
 
 func (s *sender) writeConfig() error {
-	text, err := json.Marshal(map[string]any{"name": "n1", "listen": s.listen, "discovery": s.discovery, "seed": "8c1f30d27a5be964",
+	text, err := json.Marshal(map[string]any{"name": "n1", "listen": s.listen, "discovery": s.discovery, "seed": s.seed,
 		"limits": s.limits, "known": s.known, "settings": s.settings})
 	if err != nil {
 		return err
