--- a/review/kit2/standins.go
+++ b/review/kit2/standins.go
@@ -68,7 +68,6 @@
 	changed    chan struct{} // closed at a change of the list
 	delay      time.Duration // of each answer with a list
 	silent     bool          // calls for the list get no answer, neither now nor later
-	notices    map[string]time.Time
 	lists      int // answers with a list that were written
 }
 
@@ -78,7 +77,7 @@
 		return nil, err
 	}
 	a := &agent{rec: rec, listener: listener, generation: generation, rows: map[string]instance{}, changedAt: map[string]int64{},
-		removed: map[string]instance{}, changed: make(chan struct{}), notices: map[string]time.Time{}}
+		removed: map[string]instance{}, changed: make(chan struct{})}
 	for _, row := range rows {
 		a.rows[row.ID] = row
 		a.order = append(a.order, row.ID)
@@ -174,11 +173,6 @@
 			w.WriteHeader(http.StatusBadRequest)
 			return
 		}
-		a.mu.Lock()
-		if _, ok := a.notices[notice.ID]; !ok {
-			a.notices[notice.ID] = time.Now()
-		}
-		a.mu.Unlock()
 		a.rec.add("notice: %s %s", notice.ID, notice.State)
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -237,13 +231,6 @@
 	}
 }
 
-func (a *agent) noticeAt(id string) (time.Time, bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	at, ok := a.notices[id]
-	return at, ok
-}
-
 // endpointCall is a call as an endpoint received it.
 type endpointCall struct {
 	id          string
