--- a/review/kit2/standins.go
+++ b/review/kit2/standins.go
@@ -68,7 +68,7 @@
 	changed    chan struct{} // closed at a change of the list
 	delay      time.Duration // of each answer with a list
 	silent     bool          // calls for the list get no answer, neither now nor later
-	lists      int // answers with a list that were written
+	lists      int           // answers with a list that were written
 }
 
 func newAgent(rec *record, generation int64, rows []instance) (*agent, error) {
