--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -14,7 +14,8 @@
 type play func(rec *record, root, dir string, trouble bool) (broken []string, err error)
 
 var plays = map[string]play{"slow-discovery": playSlowDiscovery, "upgrade-kill": playUpgradeKill, "restart-slots": playRestartSlots,
-	"fleet-return": playFleetReturn, "silent-restart": playSilentRestart}
+	"fleet-return":   playFleetReturn,
+	"upgrade-memory": playUpgradeMemory}
 
 func main() {
 	name := flag.String("case", "", "name of the case")
