--- a/review/kit2/main.go
+++ b/review/kit2/main.go
@@ -1,5 +1,3 @@
-//go:build review2
-
 // Command review-2 plays the cases of the second review: a real sender between stand-ins, on loopback addresses and the real
 // clock. It ends with 1 if the rule was broken, with 0 if it held, and with 2 if the case could not run.
 package main
--- a/review/kit2/upgrade_kill.go
+++ b/review/kit2/upgrade_kill.go
@@ -1,5 +1,3 @@
-//go:build review2
-
 package main
 
 import (
