Budget the calls of a sender that was rejected once, for any number of senders

Cause: among more than 16 senders a rejection put a destination in doubt only as the second in a row over 1.5 s, and a failure only if improbable by chance. The rule asks for one of either.

Mend: one doubt for any number of senders. A rejection counts at once, unless it says itself that a rate limit caused it (a wait of at most 1 s, or a report with nothing left); an outage fits if the last answer is 3 s old. All endpoints of a limiter that may be cold share one budget. A call goes at a random time of its window, counted from the message's arrival. Where an endpoint is down and its sibling answers, the sibling's first answer dates the return. What a sender knows of answers goes along in an upgrade. A sender that had only failures, not rejections, among many still wants them improbable before the first answer; from the answer on one is enough.

Tests changed: TestManySendersTakeTwoRejectionsForAnOutage waited for two calls of one message without a bound in time, and its budget now lets the second come after the message's time. TestTwoRejectionsAreAnOutage gives the same four cases the same two rejections directly.

--- a/logic/decision_test.go
+++ b/logic/decision_test.go
@@ -391,7 +391,7 @@
 	e := h.sender.endpoints[1]
 	for i := range 8 {
 		h.sender.now = fromSeconds(1 + 0.5*float64(i))
-		h.sender.recordRejection(e, 0)
+		h.sender.recordRejection(e, AttemptResult{})
 		if i%3 == 2 {
 			h.sender.recordSuccess(h.sender.endpoints[2], h.sender.now)
 		}
@@ -401,7 +401,7 @@
 	}
 	for i := range 5 {
 		h.sender.now = fromSeconds(10 + 0.5*float64(i))
-		h.sender.recordRejection(e, 0)
+		h.sender.recordRejection(e, AttemptResult{})
 	}
 	if !e.ejected {
 		t.Error("a destination that rejects everything without a retry-after time was not ejected")
@@ -951,34 +951,84 @@
 	}
 }
 
-// Guards against many senders that call a destination which rejects everything too often in total: each sender waits
-// after every rejection but does not take the rejections for an outage. With many senders two rejections in a row are
-// enough to count as one. With few senders they are not, if the destination has answered so shortly before that it
-// cannot have been down since; but they are if it has never answered.
-func TestManySendersTakeTwoRejectionsForAnOutage(t *testing.T) {
+// Guards against a destination that rejects all calls and is overloaded at its return by senders that were rejected once
+// (review case 9). One rejection puts it in doubt, for any number of senders: if an outage fits between its last answer
+// and the next one, its calls are budgeted. A rejection that says itself that a rate limit caused it does not, and
+// neither does one between two answers that are close together.
+func TestOneRejectionPutsADestinationInDoubt(t *testing.T) {
+	report := func(left float64) AttemptResult { return AttemptResult{Load: []float64{left, 10}} }
+	for name, tc := range map[string]struct {
+		answerBefore, answerAfter float64 // seconds; the rejection comes at 10 s
+		rejection                 AttemptResult
+		budgeted                  bool
+	}{
+		"long after the last answer":   {2, 14, AttemptResult{}, true},
+		"shortly before the next":      {2, 10.5, AttemptResult{}, true},
+		"between two answers":          {9, 10.5, AttemptResult{}, false},
+		"limit not used up":            {2, 14, report(0.5), true},
+		"limit used up":                {2, 14, report(0), false},
+		"wait for the limit's window":  {2, 14, AttemptResult{RetryAfter: Second / 2}, false},
+		"wait longer than that window": {2, 14, AttemptResult{RetryAfter: 3 * Second / 2}, true},
+	} {
+		for _, senders := range []int{1, 2, 16, 17, 30, 300} {
+			settings := baseSettings()
+			settings.Senders, settings.LimitLeftIndex, settings.LimitIndex = senders, 0, 1
+			h := newHarness(t, settings)
+			h.step(0, fullList(1))
+			e := h.sender.endpoints[1]
+			h.sender.now = fromSeconds(tc.answerBefore)
+			h.sender.recordSuccess(e, h.sender.now)
+			h.sender.now = fromSeconds(10)
+			h.sender.recordRejection(e, tc.rejection)
+			h.sender.now = fromSeconds(tc.answerAfter)
+			h.sender.recordSuccess(e, h.sender.now)
+			if budgeted := e.recovering; budgeted != tc.budgeted {
+				t.Errorf("%s, %d senders: got a budget %v, want %v", name, senders, budgeted, tc.budgeted)
+			}
+		}
+	}
+}
+
+// Guards against a message that is never sent: the budget of a sender that gets no further message allowed its call at a
+// time that receded faster than time passed.
+func TestBudgetAllowsTheOnlyMessageAfterAnOutage(t *testing.T) {
+	for seed := range uint64(20) {
+		h := newLargeFleetHarness(t, 300, 40, seed)
+		m := h.newMessage(0)
+		m.TimeLeft = 60 * Second
+		c := actionsOf[CallOut](h.step(1, m))[0]
+		h.step(1.01, resultOf(c.ID, 1, 0, Rejected))
+		sent := false
+		for at := 1.1; at < 60 && !sent; at += 0.1 {
+			sent = len(actionsOf[CallOut](h.step(at, TimerExpired{}))) > 0
+		}
+		if !sent {
+			t.Errorf("seed %d: a message that was rejected once was not sent again within 59 s", seed)
+		}
+	}
+}
+
+// Guards against senders, few or many, that call a destination which rejects all their calls without end: after two
+// rejections each takes it for unavailable. An answer shortly before the first one rules an outage out among few senders.
+func TestTwoRejectionsAreAnOutage(t *testing.T) {
 	for _, tc := range []struct {
 		senders          int
 		answeredBefore   bool
 		takenForAnOutage bool
 	}{{2, true, false}, {2, false, true}, {100, true, true}, {100, false, true}} {
 		h := newLargeFleetHarness(t, tc.senders, 10, 1)
+		e := h.sender.endpoints[1]
 		if tc.answeredBefore {
-			m := h.newMessage(2)
-			h.step(0.8, m)
-			h.step(0.9, resultOf(m.ID, 1, 0, Completed))
-		}
-		acts := h.step(1, h.newMessage(2))
-		for n, at := 0, 1.0; n < 2; at += 0.1 {
-			for _, c := range actionsOf[CallOut](acts) {
-				n++
-				h.step(at+0.01, resultOf(c.ID, 1, h.sender.messages[c.ID].tries-1, Rejected))
-			}
-			acts = h.step(at+0.1, TimerExpired{})
-			// The waits differ, and the span of the rejections is not under test.
-			h.sender.endpoints[1].limiter.firstRejectedAt -= fromSeconds(0.1)
+			h.sender.now = fromSeconds(0.8)
+			h.sender.recordSuccess(e, h.sender.now)
+		}
+		for _, at := range []float64{1, 2.6} {
+			h.sender.now = fromSeconds(at)
+			h.sender.recordRejection(e, AttemptResult{})
 		}
-		if recovering := h.sender.endpoints[1].recovering; recovering != tc.takenForAnOutage {
-			t.Errorf("%+v: got recovering %v after two rejections", tc, recovering)
+		h.step(2.7, h.newMessage(0))
+		if e.recovering != tc.takenForAnOutage {
+			t.Errorf("%+v: got recovering %v after two rejections", tc, e.recovering)
 		}
 	}
 }
--- a/logic/ejection.go
+++ b/logic/ejection.go
@@ -9,7 +9,6 @@
 
 import (
 	"math"
-	"slices"
 )
 
 const (
@@ -53,11 +52,10 @@
 	for _, x := range e.destination.endpoints {
 		if s.outageSuspected(x) {
 			s.eject(x, "failed, no answer since")
-			if !s.manySenders {
-				s.markRecovering(x)
-				x.suspected = true
-			}
-			x.recovering, x.nextTrialAt = true, s.now
+			s.markRecovering(x)
+			x.suspected, x.nextTrialAt = true, s.now
+			// The budget counts from the failure, or from the first message after a pause.
+			x.destination.lastOutageAt = max(m.receivedAt, x.lastFailureAt)
 		}
 	}
 	if e.ejected && (e.inflight > 0 || s.trialsInFlight() >= max(1, s.settings.Slots*2/3)) {
@@ -98,16 +96,12 @@
 		// The failures of the outage are accounted for: one more chance failure is not a new outage.
 		e.failureRate = min(e.failureRate, s.chanceFailureRate)
 	}
-	// An answer while another endpoint is down shows that e is healthy. An answer after the other's
-	// return may mean that e has returned too. Many senders try the other endpoint too rarely to tell
-	// these cases apart until it fails again (see markSiblingsHealthy).
-	e.lastAnsweredSentAt = max(e.lastAnsweredSentAt, sentAt)
-	if !s.manySenders && (!e.destination.hadOutage ||
-		!slices.ContainsFunc(e.destination.endpoints, func(x *endpoint) bool {
-			return x.recovering && !x.ejected && x.limiter == e.limiter && x.lastFailureAt > e.lastHealthyAt
-		})) {
-		e.lastHealthyAt = max(e.lastHealthyAt, sentAt)
+	if !e.recovering && !e.hasReturned() && sentAt > e.destination.lastOutageAt {
+		e.returnedAt = s.now
 	}
+	// An answer while another endpoint is down may mean that e is healthy, or that the destination has returned.
+	// That the other one fails again tells these cases apart (see markSiblingsHealthy).
+	e.lastAnsweredSentAt = max(e.lastAnsweredSentAt, sentAt)
 	e.lastSuccessAt = s.now
 	s.chanceFailureRate -= chanceFailureAlpha * s.chanceFailureRate
 	e.consecutiveFailures, e.consecutiveRejections, e.limiter.consecutiveRejections = 0, 0, 0
@@ -178,9 +172,9 @@
 	if sentAt < l.lastFailureAt {
 		return
 	}
-	if !s.manySenders && (l.mayHaveBeenDown(sentAt) || l.inDoubt() && e.ejected) {
+	if l.mayHaveBeenDown(sentAt) || l.inDoubt() && e.ejected {
 		for _, x := range e.destination.endpoints {
-			if x.limiter == l && !x.recovering && (x == e || x.hasFailed()) {
+			if x.limiter == l && !x.recovering && x.hasFailed() {
 				s.markRecovering(x)
 				x.suspected, x.returnedAt = true, s.now
 			}
@@ -192,33 +186,32 @@
 // outageSuspected reports whether the last result of e is a failure, and no answer of an endpoint that
 // shares its limiter has shown soon afterwards that it was chance. A later answer may mean that the
 // destination has returned: if each sender continued as before, all together would overload it again. Among
-// many senders, most of which see no failure of an outage, the failures in a row at all these endpoints also
-// have to be improbable by chance, and rejections do not count.
+// many senders, where each call that breaks by chance would be the last one for seconds, the broken calls in
+// a row at all these endpoints also have to be improbable. A rejection is an answer, and never chance.
 func (s *Sender) outageSuspected(e *endpoint) bool {
-	if !s.manySenders {
-		return !e.ejected && e.hasFailed() && e.limiter.mayHaveBeenDown(s.now)
-	}
-	if e.ejected || e.consecutiveFailures == 0 {
+	l := e.limiter
+	if e.ejected || !e.hasFailed() || !l.mayHaveBeenDown(s.now) {
 		return false
 	}
-	run, lastSuccess := 0, distantPast
+	if !s.manySenders || e.consecutiveRejections > 0 {
+		return true
+	}
+	run := 0
 	for _, x := range e.destination.endpoints {
-		if x.limiter == e.limiter {
-			run, lastSuccess = run+int(x.consecutiveFailures), max(lastSuccess, x.lastSuccessAt)
+		if x.limiter == l {
+			run += int(x.consecutiveFailures)
 		}
 	}
-	return lastSuccess <= e.lastFailureAt && s.now > lastSuccess+minOutage && (lastSuccess == distantPast ||
-		s.now > e.lastFailureAt+freshAnswerAge) &&
+	return (l.lastSuccessAt == distantPast || s.now > e.lastFailureAt+freshAnswerAge) &&
 		s.runProbability(run) < doubtProbability
 }
 
 // markSiblingsHealthy marks siblings of e as healthy after e has failed again: those that have answered
 // a call sent since its outage began. As e is still down, these answers do not mean that the
-// destination has returned, so the siblings were not part of the outage. Only many senders need this,
-// see recordSuccess.
+// destination has returned, so the siblings were not part of the outage.
 func (s *Sender) markSiblingsHealthy(e *endpoint) {
 	for _, x := range e.destination.endpoints {
-		if s.manySenders && e.recovering && x.limiter == e.limiter && !x.ejected &&
+		if e.recovering && x.limiter == e.limiter && !x.ejected &&
 			x.lastAnsweredSentAt > e.destination.lastOutageAt {
 			x.lastHealthyAt = s.now
 		}
--- a/logic/gate.go
+++ b/logic/gate.go
@@ -63,7 +63,7 @@
 	if at := s.ejectionAllowsAt(m, e); at > s.now {
 		return false, at
 	}
-	if at := s.budgetAllowsAt(e); at > s.now {
+	if at := s.budgetAllowsAt(m, e); at > s.now {
 		return false, at
 	}
 	if at := s.paceAllowsAt(e.limiter); at > s.now && !s.atLastChance(m) {
--- a/logic/handover.go
+++ b/logic/handover.go
@@ -80,7 +80,7 @@
 // savedEndpoint is an endpoint. Lane is its own limiter, Bad failureRate, Slow smoothedLatency, Fails
 // consecutiveFailures, Fulls consecutiveRejections, Suspect ejected, Cold recovering, Chance suspected,
 // LastOK lastSuccessAt, LastBad lastFailureAt, Well lastHealthyAt, BackAt returnedAt, TrialAt nextTrialAt,
-// Warm idleConnUntil and TrialGap trialInterval.
+// Warm idleConnUntil, TrialGap trialInterval and Answered lastAnsweredSentAt, 0 if there is none.
 type savedEndpoint struct {
 	ID                                                     EndpointID
 	Zone                                                   int
@@ -94,6 +94,7 @@
 	Chance                                                 bool `json:",omitempty"`
 	LastOK, LastBad, Well, BackAt, TrialAt, LastSent, Warm Micros
 	TrialGap                                               Micros
+	Answered                                               Micros `json:",omitempty"`
 }
 
 // savedMessage is a message. Cuts is cutOffs, Share worthShare, First receivedAt, FirstMay
@@ -282,6 +283,9 @@
 			LastBad: e.lastFailureAt, Well: e.lastHealthyAt, BackAt: e.returnedAt, TrialAt: e.nextTrialAt,
 			LastSent: e.lastSentAt,
 			Warm:     e.idleConnUntil, TrialGap: e.trialInterval}
+		if e.lastAnsweredSentAt != distantPast {
+			x.Answered = e.lastAnsweredSentAt
+		}
 		if e.limiter != e.destination.limiter {
 			l := e.limiter.save()
 			x.Lane = &l
@@ -344,7 +348,10 @@
 			lastSuccessAt: se.LastOK,
 			lastFailureAt: se.LastBad, lastHealthyAt: se.Well, returnedAt: se.BackAt,
 			nextTrialAt: se.TrialAt, lastSentAt: se.LastSent,
-			idleConnUntil: se.Warm, trialInterval: se.TrialGap}
+			idleConnUntil: se.Warm, trialInterval: se.TrialGap, lastAnsweredSentAt: se.Answered}
+		if se.Answered == 0 {
+			e.lastAnsweredSentAt = distantPast
+		}
 		if se.Lane != nil {
 			e.limiter = se.Lane.limiter()
 		}
--- a/logic/outcome.go
+++ b/logic/outcome.go
@@ -74,7 +74,7 @@
 			if !s.rejectedUnexamined(result) { // otherwise it says nothing about the limit
 				s.reducePace(e.limiter)
 			}
-			s.recordRejection(e, result.RetryAfter)
+			s.recordRejection(e, result)
 		}
 		switch {
 		case result.MessageEnded || m.ended || !s.manySenders:
--- a/logic/rate_limit.go
+++ b/logic/rate_limit.go
@@ -37,6 +37,10 @@
 	downRejectionSpanMicros = 1500_000
 	// A retry-after wait longer than this means an unavailable destination, not the window of a limit.
 	downWait = 2 * Second
+	// Rate limits count the calls of such a span; a rejection above one tells no longer wait.
+	limitWindow = Second
+	// Share of a limit up to which it counts as used up: load reports are some time old.
+	limitUsedUp = 0.1
 	// Share of rejected calls above which a rejected message of mean worth is not retried.
 	maxRetryRejectedShare = 0.2
 	// New connections that have to be accepted after a rejected one before idle connections may be kept.
@@ -173,27 +177,38 @@
 	m.notBefore = max(s.now, e.limiter.waitUntil) + Micros(delayShare*float64(m.deadline-s.now))
 }
 
-// recordRejection records a rejection. Rejections in a row over more than the window of a limit, or a
-// long retry-after wait, mean that the destination is unavailable. Many senders call too rarely for four
-// in a row, so two are enough for them: otherwise senders that were rejected twice would overload a
-// destination that returns.
-func (s *Sender) recordRejection(e *endpoint, retryAfter Micros) {
+// limitExplains reports whether a rejection says by itself that a rate limit caused it: it names a wait no
+// longer than the window of a limit, or its load report says that nothing is left of the limit.
+func (s *Sender) limitExplains(r AttemptResult) bool {
+	if r.RetryAfter > 0 {
+		return r.RetryAfter <= limitWindow
+	}
+	limit, limitLeft := s.settings.LimitIndex, s.settings.LimitLeftIndex
+	return limit >= 0 && limit < len(r.Load) && r.Load[limit] > 0 &&
+		limitLeft >= 0 && limitLeft < len(r.Load) && r.Load[limitLeft] <= limitUsedUp
+}
+
+// recordRejection records a rejection. One that the limit does not explain puts the destination in doubt,
+// like a failure: it may have been unavailable since its last answer. Rejections in a row over more than the
+// window of a limit, or a long retry-after wait, mean that the destination is unavailable. Many senders call
+// too rarely for four in a row, so two are enough for them.
+func (s *Sender) recordRejection(e *endpoint, r AttemptResult) {
 	e.consecutiveRejections++
 	l := e.limiter
-	l.lastFailureAt = s.now
+	if e.ejected || !s.limitExplains(r) {
+		l.lastFailureAt, e.lastFailureAt = s.now, s.now
+	}
 	if l.consecutiveRejections < math.MaxUint16 {
 		l.consecutiveRejections++
 	}
 	if l.consecutiveRejections == 1 {
 		l.firstRejectedAt = s.now
 	}
-	unavailable := e.isDown() || retryAfter > downWait || (l.consecutiveRejections >= downRejections ||
+	unavailable := e.isDown() || r.RetryAfter > downWait || (l.consecutiveRejections >= downRejections ||
 		s.manySenders && l.consecutiveRejections > 1) &&
 		s.now-l.firstRejectedAt > downRejectionSpanMicros
-	if unavailable || e.ejected {
-		e.lastFailureAt = s.now
-	}
 	if unavailable {
+		e.lastFailureAt = s.now
 		s.markDown(e, "refuses all")
 		s.markSiblingsHealthy(e)
 	}
--- a/logic/slow_start.go
+++ b/logic/slow_start.go
@@ -11,18 +11,22 @@
 )
 
 const (
-	// Share of the traffic of an outage that is retried at the same time.
-	retriedTrafficShare = 1.0
+	// Part of its traffic since the outage began that a sender may send at once, at the return ...
+	trafficShareAtReturn = 0.9
+	// ... and once the whole capacity is back.
+	trafficShareRecovered = 2.0
+	// How much of the time since the last message counts in the rate of the messages.
+	idleTimeShare = 0.1
 	// If senders that saw the outage sent more than this share of the calls that overload a destination, it
 	// is they who broke the rule.
 	toldShare = 2.0 / 3
 )
 
-// budgetAllowsAt returns when the budget of the slow start allows the next call to e; 0 if now or if
+// budgetAllowsAt returns when the budget of the slow start allows m to be sent to e; 0 if now or if
 // there is no budget. The recovering endpoints of a limiter share one budget, since they are overloaded
 // together. An endpoint that is not known to have been healthy during the outage of another counts as
 // recovering too.
-func (s *Sender) budgetAllowsAt(e *endpoint) Micros {
+func (s *Sender) budgetAllowsAt(m *message, e *endpoint) Micros {
 	if e.recovering && !e.ejected && s.now >= e.returnedAt+s.settings.WarmAfter {
 		e.recovering, e.suspected = false, false
 	}
@@ -44,14 +48,12 @@
 		// Many senders: this sender's share is its part of all messages since the outage began. These parts
 		// add up to the whole traffic, however many senders noticed the outage. The one call goes in a
 		// longer window, at a random time in it.
-		ownRate := retriedTrafficShare * float64(e.destination.arrivals) /
-			seconds(s.now-e.destination.lastOutageAt+assumedOutage)
-		if e.limiter != e.destination.limiter {
-			ownRate /= float64(len(e.destination.endpoints))
-		}
+		ownRate := (trafficShareAtReturn + (trafficShareRecovered-trafficShareAtReturn)*group.recovered) *
+			s.rateSinceOutage(e)
 		maxCalls = max(maxCalls, callsPerRate*min(ownRate, capacity/2))
 		window = clampMicros(float64(window) / min(maxCalls, 1))
-		at := max(e.limiter.waitUntil, e.destination.lastOutageAt)
+		// A clump may reach all senders at the same time, also such as have paused for long.
+		at := max(e.limiter.waitUntil, e.destination.lastOutageAt, m.receivedAt)
 		if n := len(sentTimes); n > 0 {
 			at = max(at, sentTimes[n-1]+window/2)
 		}
@@ -65,6 +67,20 @@
 	return 0
 }
 
+// rateSinceOutage returns the rate of the messages for e, in messages a second, since the last outage of its
+// destination began. While no message arrives it falls slowly only: the time at which it allows the next
+// call would otherwise recede faster than time passes, and a sender that got one message would never send it.
+func (s *Sender) rateSinceOutage(e *endpoint) float64 {
+	d := e.destination
+	lastArrivalAt := max(d.lastUsedAt, d.lastOutageAt)
+	span := seconds(lastArrivalAt-d.lastOutageAt+assumedOutage) + idleTimeShare*seconds(s.now-lastArrivalAt)
+	rate := float64(d.arrivals) / span
+	if e.limiter != d.limiter {
+		rate /= float64(len(d.endpoints))
+	}
+	return rate
+}
+
 // coldGroup is what the endpoints that share a budget have in common.
 type coldGroup struct {
 	endpoints int
@@ -73,23 +89,25 @@
 	suspected bool     // no outage is certain
 }
 
-// coldGroupOf returns the group of e. Among few senders it has all endpoints that may be cold, among many e
-// and those that are recovering.
+// coldGroupOf returns the group of e: all endpoints of its limiter that may be cold. The trial calls of an
+// ejected endpoint show whether its siblings share its outage, so they are not counted together with the
+// siblings' calls.
 func (s *Sender) coldGroupOf(e *endpoint, lastFailureAt Micros) coldGroup {
 	group := coldGroup{recovered: 1, suspected: true}
 	for _, x := range e.destination.endpoints {
-		mayBeCold := x == e || x.recovering || !s.manySenders && x.mayBeCold(lastFailureAt)
+		mayBeCold := x == e || x.recovering || !e.ejected && x.mayBeCold(lastFailureAt)
 		if x.limiter != e.limiter || !mayBeCold {
 			continue
 		}
 		group.endpoints++
 		group.sentTimes = append(group.sentTimes, x.sentTimes...)
 		switch {
-		case x.ejected:
+		case x.ejected && !e.hasReturned():
 			group.recovered = 0
+		case x.ejected: // the answers of e show that the destination has returned
+			group.recovered = min(group.recovered, s.recoveredShare(e))
 		case x.recovering:
-			sinceReturn := seconds(s.now-x.returnedAt) / seconds(s.settings.WarmAfter)
-			group.recovered = min(group.recovered, sinceReturn)
+			group.recovered = min(group.recovered, s.recoveredShare(x))
 		}
 		if x.recovering && !x.suspected {
 			group.suspected = false
@@ -99,6 +117,17 @@
 	return group
 }
 
+// hasReturned reports whether e is not ejected and has answered since the last outage of its
+// destination began.
+func (e *endpoint) hasReturned() bool {
+	return !e.ejected && e.returnedAt > e.destination.lastOutageAt
+}
+
+// recoveredShare returns which share of the time to full capacity has passed since e returned.
+func (s *Sender) recoveredShare(e *endpoint) float64 {
+	return seconds(s.now-e.returnedAt) / seconds(s.settings.WarmAfter)
+}
+
 // budgetShare returns this sender's share of n, the calls in a window that the rule allows. Where n is small,
 // what chance may add to it is large, and has room for a call of each of few senders. If no outage is
 // certain, a sender takes its share of all that the rule leaves to senders that were told of one.
--- a/logic/state.go
+++ b/logic/state.go
@@ -72,7 +72,7 @@
 	lastSuccessAt, lastFailureAt               Micros
 	lastHealthyAt                              Micros  // latest time at which answers show it to be healthy
 	lastAnsweredSentAt                         Micros  // send time of the latest call that was answered
-	returnedAt                                 Micros  // end of the last outage
+	returnedAt                                 Micros  // first answer since the last outage began
 	nextTrialAt, trialInterval                 Micros  // ejected: next trial call, and the time between two
 	smoothedLatency                            float64 // microseconds; 0 if not known
 	lastSentAt                                 Micros
--- a/logic/table_rows.go
+++ b/logic/table_rows.go
@@ -221,6 +221,7 @@
 		c.limiter(e.limiter)
 		c.limiterHealth(e.limiter)
 	}
+	c.timestamp(&e.lastAnsweredSentAt, distantPast)
 }
 
 // boolToUint returns 1 for true and 0 for false.
