Read values of a load report, and save unknown times, in one place

Reading the change once more found two pieces written again: limitExplains checked the indices of a load report beside applyLoadReport, and lastAnsweredSentAt was saved by its own test for an unknown time beside zeroIfDistantPast and distantPastIfZero. No behaviour changes: TestActionsMatchTheRecord passes with the record untouched.

--- a/logic/handover.go
+++ b/logic/handover.go
@@ -282,10 +282,8 @@
 			Suspect: e.ejected, Cold: e.recovering, Chance: e.suspected, LastOK: e.lastSuccessAt,
 			LastBad: e.lastFailureAt, Well: e.lastHealthyAt, BackAt: e.returnedAt, TrialAt: e.nextTrialAt,
 			LastSent: e.lastSentAt,
-			Warm:     e.idleConnUntil, TrialGap: e.trialInterval}
-		if e.lastAnsweredSentAt != distantPast {
-			x.Answered = e.lastAnsweredSentAt
-		}
+			Warm:     e.idleConnUntil, TrialGap: e.trialInterval,
+			Answered: zeroIfDistantPast(e.lastAnsweredSentAt)}
 		if e.limiter != e.destination.limiter {
 			l := e.limiter.save()
 			x.Lane = &l
@@ -348,10 +346,8 @@
 			lastSuccessAt: se.LastOK,
 			lastFailureAt: se.LastBad, lastHealthyAt: se.Well, returnedAt: se.BackAt,
 			nextTrialAt: se.TrialAt, lastSentAt: se.LastSent,
-			idleConnUntil: se.Warm, trialInterval: se.TrialGap, lastAnsweredSentAt: se.Answered}
-		if se.Answered == 0 {
-			e.lastAnsweredSentAt = distantPast
-		}
+			idleConnUntil: se.Warm, trialInterval: se.TrialGap,
+			lastAnsweredSentAt: distantPastIfZero(se.Answered)}
 		if se.Lane != nil {
 			e.limiter = se.Lane.limiter()
 		}
--- a/logic/rate_limit.go
+++ b/logic/rate_limit.go
@@ -183,9 +183,8 @@
 	if r.RetryAfter > 0 {
 		return r.RetryAfter <= limitWindow
 	}
-	limit, limitLeft := s.settings.LimitIndex, s.settings.LimitLeftIndex
-	return limit >= 0 && limit < len(r.Load) && r.Load[limit] > 0 &&
-		limitLeft >= 0 && limitLeft < len(r.Load) && r.Load[limitLeft] <= limitUsedUp
+	return loadValue(r.Load, s.settings.LimitIndex) > 0 &&
+		loadValue(r.Load, s.settings.LimitLeftIndex) <= limitUsedUp
 }
 
 // recordRejection records a rejection. One that the limit does not explain puts the destination in doubt,
--- a/logic/state.go
+++ b/logic/state.go
@@ -381,14 +381,22 @@
 // applyLoadReport takes the rate limit, and the share of it that is left, from the load report of an
 // answer.
 func (s *Sender) applyLoadReport(e *endpoint, load []float64) {
-	if i := s.settings.LimitIndex; i >= 0 && i < len(load) && load[i] > 0 && load[i] <= maxRateRPS {
-		e.limiter.limit, e.limiter.limitReported = max(load[i], minRateRPS), true
+	if limit := loadValue(load, s.settings.LimitIndex); limit > 0 && limit <= maxRateRPS {
+		e.limiter.limit, e.limiter.limitReported = max(limit, minRateRPS), true
 	}
-	if i := s.settings.LimitLeftIndex; i >= 0 && i < len(load) && load[i] >= 0 && e.limiter.limit > 0 {
-		e.limiter.limitLeft = min(load[i], 1)
+	if left := loadValue(load, s.settings.LimitLeftIndex); left >= 0 && e.limiter.limit > 0 {
+		e.limiter.limitLeft = min(left, 1)
 	}
 }
 
+// loadValue returns a value of a load report by its index in the settings; NaN if the report lacks it.
+func loadValue(load []float64, index int) float64 {
+	if index < 0 || index >= len(load) {
+		return math.NaN()
+	}
+	return load[index]
+}
+
 // forgetMessage marks a message as ended, and removes it once it has no attempt in flight.
 func (s *Sender) forgetMessage(m *message) {
 	if !m.ended {
