--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -10,22 +10,19 @@
 package discovery
 
 import (
-	"bufio"
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"log/slog"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"crossdeal/internal/httpconn"
-	"crossdeal/internal/neterror"
+	"crossdeal/logic"
 )
 
 const (
@@ -61,7 +58,9 @@
 	promptHoldTime   = time.Millisecond // hold time of the call that asks for such an answer
 
 	// A call that has had no answer for longer than this was not rejected: it waits for a change.
-	acceptanceDelay = 2200 * time.Millisecond
+	acceptanceDelay      = 2200 * time.Millisecond
+	knownDelay           = 6 * time.Second // a change counts as known so long after discovery had it and could be reached
+	unansweredHoldMargin = 2 * time.Second // the same for a watch without an answer, after its hold time, if that is later
 	// MaxListAge is the age of the last answer from which on changes since then count as known: slightly less than 6 s.
 	MaxListAge         = 5800 * time.Millisecond
 	minEmptyAnswerTime = 100 * time.Millisecond // an empty answer that arrives sooner did not wait: a backoff follows
@@ -74,6 +73,7 @@
 	MinAnswerLimitBytes = 4 << 20
 	minRowBytes         = 96       // an answer has at most one row for each so many bytes of its size limit
 	readBufferBytes     = 64 << 10 // of an answer
+	maxKeptBodyBytes    = 64 << 10 // of an answer that is kept until the answer is reported
 	// Longest time between the bytes of an answer that has begun; an answer as a whole may take that long in any case.
 	stallTimeout      = 2 * time.Second
 	minBytesPerSecond = 128 << 10   // an answer may take a second more for each so many bytes
@@ -88,24 +88,53 @@
 )
 
 var (
-	errUnavailable     = errors.New("discovery answered 503") // it is too busy for a call
 	errUnresponsive    = errors.New("discovery does not answer")
 	errListTooLarge    = errors.New("the list is too large")
 	errUnreadable      = errors.New("the answer is not a list")             // for example, truncated
 	errOlderGeneration = errors.New("the list is older than the known one") // for example, a late answer
+	// The directory has changed since the answer was compared with it.
+	errDirectoryChanged = errors.New("a late answer changed the list meanwhile")
 )
 
 // Event is a change of the list, the state of a call for it, or a call that failed.
 type Event struct {
 	Update         Update
-	HasUpdate      bool   // Update is an answer
-	WatchAccepted  bool   // discovery has accepted the watch and nothing has changed so far
-	AnswerBegun    bool   // pushed lists: an answer has begun and is slow to arrive, so the known list may be out of date
-	UnusableAnswer bool   // an unusable answer arrived: it may have held changes, which are requested again
-	Err            error  // of a call that failed; the watch has ended
-	Unresponsive   bool   // with Err: discovery did not answer at all
-	NotSent        bool   // with Err: this host could not send the call, which says nothing about discovery
-	Done           func() // called by the receiver once the update is applied; nil if there is none
+	HasUpdate      bool  // Update is an answer
+	WatchAccepted  bool  // discovery has accepted the watch and nothing has changed so far
+	AnswerBegun    bool  // pushed lists: an answer has begun and is slow to arrive, so the known list may be out of date
+	UnusableAnswer bool  // an unusable answer arrived: it may have held changes, which are requested again
+	Err            error // of a call that failed; the watch has ended
+	Unresponsive   bool  // with Err: discovery did not answer at all
+	Rejected       bool  // with Err: discovery answered that it cannot serve the call
+	NotSent        bool  // with Err: this host could not send the call, which says nothing about discovery
+	Late           bool  // the answer came after its call had been reported as one without an answer in time
+	// Later changes may be missing in the list as it is known now; zero for the time of the event.
+	CurrentAsOf time.Time
+	Done        func() // called by the receiver once the update is applied; nil if there is none
+}
+
+// ListUpdate returns the event for the decision logic at a time. entries are those that the update changed.
+func (ev Event) ListUpdate(now time.Time, entries []logic.Entry) logic.ListUpdate {
+	update := logic.ListUpdate{Form: ev.form(), Entries: entries, Unresponsive: ev.Unresponsive,
+		Rejected: ev.Rejected, NotSent: ev.NotSent, Late: ev.Late}
+	if !ev.CurrentAsOf.IsZero() {
+		update.Age = logic.Micros(now.Sub(ev.CurrentAsOf) / time.Microsecond)
+	}
+	return update
+}
+
+func (ev Event) form() logic.ListForm {
+	switch {
+	case ev.Err != nil:
+		return logic.ListRequestFailed
+	case ev.WatchAccepted:
+		return logic.ListWatchOpen
+	case ev.AnswerBegun:
+		return logic.ListAnswerBegun
+	case ev.UnusableAnswer:
+		return logic.ListAnswerUnusable
+	}
+	return logic.ListDelta
 }
 
 // Config configures a Client.
@@ -123,7 +152,7 @@
 	OnExtraBytes   func(err *httpconn.ExtraBytesError) // called when a connection is closed for what came behind an answer; may be nil
 }
 
-// Client requests the list and watches it. Only one Watch may run at a time.
+// Client requests the list and watches it. Only one Watch may run at a time, apart from one that has reported an error.
 type Client struct {
 	httpClient     *http.Client
 	directory      *Directory
@@ -134,7 +163,11 @@
 	pushed         bool
 	maxAnswerBytes int64 // size limit of an answer
 
-	// The fields up to applied belong to the running Watch.
+	watcherTurn    chan struct{} // held by the running Watch
+	successorWaits chan struct{} // the next Watch waits for its turn
+	callEnded      chan struct{} // a call has ended
+
+	// The fields up to hasList belong to the running Watch.
 
 	rng           *rand.Rand    // spreads the calls of this sender apart from those of other senders
 	generation    int64         // generation of the list that the receiver of the events has
@@ -147,15 +180,18 @@
 	unsavedOrigin string        // the address that it came from
 	noRoomRows    int           // number of rows of a list that did not fit on disk; 0 if there was none
 	saveFailed    bool          // the last update could not be saved
+	answerDelay   time.Duration // how long discovery last took for an answer or a rejection, apart from waiting for a change
 	discoveryBusy bool          // discovery is too busy for a large fleet that calls without pauses
 	hasList       bool          // there is a list at generation
-	applied       chan struct{} // closed once the receiver has applied the last update; nil before the first
 
 	wake           chan struct{} // ends a pause: the address of discovery has changed
 	mu             sync.Mutex    // guards the fields below
 	baseURL        string
-	addressChanged bool               // since the last call began
-	cancelCall     context.CancelFunc // ends the call in progress
+	addressChanged bool          // since the last call began
+	currentCall    *call         // the call in progress
+	lateCalls      []*call       // overdue calls that may still be answered, in the order in which they began
+	applied        chan struct{} // closed once the receiver has applied the last update; nil before the first
+	revision       int           // number of updates that changed the directory
 }
 
 // NewClient returns a client that reports on events what it learns, each as an Event.
@@ -171,7 +207,8 @@
 	return &Client{baseURL: "http://" + cfg.Addr, timing: times, pushed: cfg.Pushed,
 		maxAnswerBytes: max(cfg.MaxAnswerBytes, MinAnswerLimitBytes),
 		rng:            rand.New(rand.NewPCG(cfg.Seed, 1)), directory: cfg.Directory, store: cfg.Store, log: cfg.Log,
-		events: events, wake: make(chan struct{}, 1),
+		events: events, wake: make(chan struct{}, 1), watcherTurn: make(chan struct{}, 1),
+		successorWaits: make(chan struct{}, 1), callEnded: make(chan struct{}, 1),
 		httpClient: &http.Client{Transport: httpconn.NewTransport(httpconn.TransportConfig{Dial: dial, MaxIdle: maxKeptConns,
 			IdleTimeout: connIdleTimeout, OnExtraBytes: cfg.OnExtraBytes})}}
 }
@@ -201,7 +238,20 @@
 // An answer with a lower generation than the known one is rejected: it may be a late answer. If such answers continue
 // for maxBadAnswers in a row and for renumberingDelay, discovery has restarted its generations, and the next call asks
 // for the whole list. So does the first call to another address, whose generations need not be the same.
+//
+// After an error Watch goes on to report late answers until the next Watch begins.
 func (c *Client) Watch(ctx context.Context) {
+	release, ok := c.becomeWatcher(ctx)
+	if !ok {
+		return
+	}
+	defer release()
+	c.watch(ctx)
+	c.awaitLateAnswers(ctx)
+}
+
+// watch makes calls until one fails.
+func (c *Client) watch(ctx context.Context) {
 	if c.timing.firstPause > 0 && !c.firstCallMade && !c.restarted {
 		c.wait(ctx, time.Duration(c.rng.Int64N(int64(c.timing.firstPause))))
 	}
@@ -209,24 +259,8 @@
 	for ctx.Err() == nil {
 		first := c.timing.busyPause > 0 && !c.firstCallMade || c.pushed && !hasCalled
 		c.firstCallMade, hasCalled = true, true
-		call, base, moved := c.beginCall(ctx)
-		if moved { // the generations of another address may count another list
-			c.hasList = false
-		}
-		url, limit := base+"/discovery/hosts", listTimeout
-		direct := !c.hasList || first || badAnswers > 0 // the answer need not wait for a change
-		switch {
-		case c.hasList && direct:
-			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, c.generation, promptHoldTime.Milliseconds())
-			limit = c.timing.answerTimeout
-		case c.hasList:
-			url = fmt.Sprintf("%s?from=%d&hold_ms=%d", url, c.generation, c.timing.holdTime.Milliseconds())
-			limit = c.timing.holdTime + c.timing.answerMargin
-		}
-		calledAt := time.Now()
-		c.log.Debug("list call", "url", url, "limit", limit.String())
-		list, err := c.awaitAnswer(call, url, limit, !direct)
-		c.logAnswer(list, err, time.Since(calledAt))
+		l := c.startCall(ctx, first || badAnswers > 0)
+		err := c.awaitAnswer(ctx, l)
 		if moved := c.endCall(); ctx.Err() != nil {
 			return
 		} else if moved {
@@ -234,7 +268,11 @@
 			continue // the answer of the old address is dropped: the new address has the same changes
 		}
 		if err == nil {
-			err = c.checkAnswer(list)
+			err = c.checkAnswer(ctx, l)
+		}
+		c.noteEnd(l, err)
+		if errors.Is(err, errDirectoryChanged) {
+			continue
 		}
 		if !errors.Is(err, errOlderGeneration) {
 			c.olderSince = time.Time{}
@@ -243,7 +281,7 @@
 		}
 		unusable := errors.Is(err, errUnreadable) || errors.Is(err, errOlderGeneration) || errors.Is(err, errListTooLarge)
 		if unusable {
-			c.emit(ctx, Event{UnusableAnswer: true})
+			c.emit(ctx, Event{UnusableAnswer: true, CurrentAsOf: c.unansweredSince(l)})
 		}
 		if badAnswers++; badAnswers < maxBadAnswers && unusable {
 			pause := c.nextBackoff()
@@ -257,44 +295,132 @@
 		}
 		if err != nil {
 			c.log.Log(ctx, c.failureLogLevel(), "discovery", "err", err)
-			c.discoveryBusy = c.discoveryBusy || errors.Is(err, errUnavailable)
-			c.emit(ctx, Event{Err: err, Unresponsive: isUnresponsive(err), NotSent: isNotSent(err)})
+			c.discoveryBusy = c.discoveryBusy || isOverload(err)
+			c.emit(ctx, Event{Err: err, Unresponsive: isUnresponsive(err), Rejected: isRejection(err),
+				NotSent: isNotSent(err), CurrentAsOf: c.unansweredSince(l)})
 			return
 		}
-		pause, took := time.Duration(0), time.Since(calledAt)
-		emptyAtOnce := len(list.Rows) == 0 && took < minEmptyAnswerTime && !direct // answered at once, without changes
-		if badAnswers = 0; !emptyAtOnce {
-			c.meanBackoff = 0
-		}
-		if direct || list.rowCount > 0 && took < promptAnswerTime {
-			c.discoveryBusy = took >= promptAnswerTime
-		}
-		if len(list.Rows) > 0 || list.Generation != c.generation || !c.hasList {
-			c.unsavedUpdate, c.unsavedOrigin = &list.Update, strings.TrimPrefix(base, "http://")
-		}
-		c.generation, c.hasList = list.Generation, true
-		applied := make(chan struct{})
-		c.applied = applied
-		c.emit(ctx, Event{Update: list.Update, HasUpdate: true, Done: sync.OnceFunc(func() { close(applied) })})
-		switch {
-		case emptyAtOnce:
-			pause = c.nextBackoff()
-		case c.discoveryBusy && c.timing.busyPause > 0 &&
-			(list.rowCount > 0 && took > busyAnswerTime || list.rowCount == 0 && first):
-			pause = c.timing.busyPause*92/100 + time.Duration(c.rng.Int64N(int64(c.timing.busyPause)*16/100))
-		}
+		badAnswers = 0
+		pause := c.pauseAfter(l, first)
+		c.accept(ctx, l)
 		c.wait(ctx, pause)
 	}
 }
 
-// logAnswer logs how a call for the list ended, at debug level.
-func (c *Client) logAnswer(list *answer, err error, took time.Duration) {
+// startCall starts a call: for the whole list if there is none, with a minimal hold time if direct, or a watch.
+func (c *Client) startCall(ctx context.Context, direct bool) *call {
+	ctx, cancel := context.WithCancel(ctx)
+	l := &call{limit: c.timing.answerTimeout, startedAt: time.Now(), cancel: cancel,
+		begun: make(chan struct{}), overdue: make(chan struct{}), ended: make(chan struct{})}
+	if moved := c.beginCall(l); moved { // the generations of another address may count another list
+		c.hasList = false
+	}
+	l.url = l.base + "/discovery/hosts"
+	switch {
+	case c.hasList && direct: // the answer need not wait for a change
+		l.url = fmt.Sprintf("%s?from=%d&hold_ms=%d", l.url, c.generation, promptHoldTime.Milliseconds())
+	case c.hasList:
+		l.holdTime = c.timing.holdTime
+		l.url = fmt.Sprintf("%s?from=%d&hold_ms=%d", l.url, c.generation, l.holdTime.Milliseconds())
+		l.limit = l.holdTime + c.timing.answerMargin
+	}
+	c.log.Debug("list call", "url", l.url, "limit", l.limit.String())
+	go c.run(ctx, l)
+	return l
+}
+
+// accept reports the list of an answer, which supersedes what calls that began earlier may still bring.
+func (c *Client) accept(ctx context.Context, l *call) {
+	list := l.list
+	if _, err := c.awaitApplied(ctx); err != nil {
+		return
+	}
+	c.saveUpdate()
+	if len(list.Rows) > 0 || list.Generation != c.generation || !c.hasList {
+		c.unsavedUpdate, c.unsavedOrigin = &list.Update, strings.TrimPrefix(l.base, "http://")
+	}
+	c.generation, c.hasList = list.Generation, true
+	c.dropLateCalls(l.startedAt)
+	applied := make(chan struct{})
+	c.mu.Lock()
+	c.applied = applied
+	if len(list.Rows) > 0 {
+		c.revision++
+	}
+	c.mu.Unlock()
+	c.emit(ctx, Event{Update: list.Update, HasUpdate: true, Late: l.isOverdue(), CurrentAsOf: c.listCurrentAsOf(l),
+		Done: sync.OnceFunc(func() { close(applied) })})
+}
+
+// listCurrentAsOf returns the time up to which the list has all changes with the answer to a call. Discovery that is
+// requested has read the list when the answer began, or earlier by its delay. An agent may have read the list when the
+// call came, or, if it waited for a change that did not come, at the end of the hold time; so may discovery that is late.
+func (c *Client) listCurrentAsOf(l *call) time.Time {
+	switch {
+	case !c.pushed && !l.isOverdue():
+		return l.firstByteAt.Add(-min(c.answerDelay, l.firstByteAt.Sub(l.startedAt)))
+	case l.list.rowCount == 0 && time.Since(l.startedAt) >= l.holdTime:
+		return l.startedAt.Add(l.holdTime)
+	}
+	return l.startedAt
+}
+
+// unansweredSince returns the time up to which the list has all changes while a call has no answer that can be used;
+// zero for now. Where lists are requested, the changes that a watch without an answer misses count as known
+// unansweredHoldMargin after the end of its hold time, and all others knownDelay after they were made.
+func (c *Client) unansweredSince(l *call) time.Time {
+	switch {
+	case c.pushed:
+		return l.startedAt
+	case l.isWatch() && l.isOverdue():
+		return l.startedAt.Add(max(l.holdTime+unansweredHoldMargin-knownDelay, 0))
+	}
+	return time.Time{}
+}
+
+// pauseAfter returns how long to pause after an answer that can be used.
+func (c *Client) pauseAfter(l *call, first bool) time.Duration {
+	took, rowCount, changes := time.Since(l.startedAt), l.list.rowCount, len(l.list.Rows)
+	emptyAtOnce := changes == 0 && took < minEmptyAnswerTime && l.isWatch() // answered at once, without changes
+	if !l.isWatch() || rowCount > 0 && took < promptAnswerTime {
+		c.discoveryBusy = took >= promptAnswerTime
+	}
+	if emptyAtOnce {
+		return c.nextBackoff()
+	}
+	c.meanBackoff = 0
+	if c.discoveryBusy && c.timing.busyPause > 0 && (rowCount > 0 && took > busyAnswerTime || rowCount == 0 && first) {
+		return c.timing.busyPause*92/100 + time.Duration(c.rng.Int64N(int64(c.timing.busyPause)*16/100))
+	}
+	return 0
+}
+
+// noteEnd notes how a call for the list ended, and logs it at debug level.
+func (c *Client) noteEnd(l *call, err error) {
+	c.noteAnswerDelay(l, err)
+	attrs := []any{"took", time.Since(l.startedAt).String(), "late", l.isOverdue()}
 	if err != nil {
-		c.log.Debug("list call ended", "took", took.String(), "err", err)
+		c.log.Debug("list call ended", append(attrs, "err", err)...)
 		return
 	}
-	c.log.Debug("list call ended", "took", took.String(), "generation", list.Generation, "whole", list.Whole,
-		"rows", list.rowCount)
+	c.log.Debug("list call ended", append(attrs, "generation", l.list.Generation, "whole", l.list.Whole,
+		"rows", l.list.rowCount)...)
+}
+
+// noteAnswerDelay notes how long discovery took for an answer. A watch shows it only if no change came.
+func (c *Client) noteAnswerDelay(l *call, err error) {
+	took := time.Since(l.startedAt)
+	switch {
+	case isRejection(err):
+		c.answerDelay = max(c.answerDelay, took)
+	case err != nil:
+	case l.isWatch() && l.list.rowCount == 0:
+		c.answerDelay = max(took-l.holdTime, 0)
+	case l.isWatch():
+		c.answerDelay = min(c.answerDelay, took)
+	default:
+		c.answerDelay = took
+	}
 }
 
 // failureLogLevel returns the level at which a call that failed is logged. Where lists are pushed, calls follow each
@@ -308,9 +434,16 @@
 	return slog.LevelWarn
 }
 
-// checkAnswer returns an error if a list cannot be used: changes where there is no list yet, a whole list without
-// instances, or a list that is older than the known one.
-func (c *Client) checkAnswer(list *answer) error {
+// checkAnswer returns the error of a call that has ended, or an error if its list cannot be used: changes where there is
+// no list yet, a whole list without instances, or a list that is older than the known one.
+func (c *Client) checkAnswer(ctx context.Context, l *call) error {
+	if l.err != nil {
+		return l.err
+	}
+	if err := c.compareAgain(ctx, l); err != nil {
+		return err
+	}
+	list := l.list
 	switch {
 	case !c.hasList && !list.Whole, list.Whole && !list.hasInstances:
 		return errUnreadable
@@ -320,62 +453,37 @@
 	return nil
 }
 
-// isUnresponsive reports whether a call failed because there was no answer: the connection was not established, or no
-// data came over it.
-func isUnresponsive(err error) bool {
-	return errors.Is(err, errUnresponsive) && !errors.Is(err, errUnreadable) || neterror.IsDial(err) && !isNotSent(err)
-}
-
-// isNotSent reports whether this host could not open a connection for a call. Errors of the network count too: a call
-// that gets no answer is given up long before the system's own time for a connection is over, and an agent is on this
-// host.
-func isNotSent(err error) bool {
-	return neterror.IsDial(err) &&
-		(neterror.IsLocal(err) || errors.Is(err, syscall.ETIMEDOUT) || errors.Is(err, syscall.EHOSTUNREACH))
-}
-
-// awaitAnswer makes a call and returns its answer. If the call is a watch, it reports when discovery has accepted it;
-// where lists are pushed, it also reports when an answer has begun and is slow to arrive.
-func (c *Client) awaitAnswer(ctx context.Context, url string, limit time.Duration, watch bool) (*answer, error) {
-	type result struct {
-		list *answer
-		err  error
-	}
-	answers, begun := make(chan result, 1), make(chan struct{})
-	go func() {
-		list, err := c.fetchList(ctx, url, limit, begun)
-		answers <- result{list, err}
-	}()
-	if c.awaitApplied(ctx) == nil {
+// awaitAnswer waits until a call has ended or is overdue, and returns its error. If the call is a watch, it reports when
+// discovery has accepted it; where lists are pushed, it also reports when an answer has begun and is slow to arrive.
+// Late answers to earlier calls are reported as they come.
+func (c *Client) awaitAnswer(ctx context.Context, l *call) error {
+	if _, err := c.awaitApplied(ctx); err == nil {
 		c.saveUpdate() // nothing changes the directory meanwhile: the next update is only reported after this
 	}
-	acceptanceTimer := time.NewTimer(c.timing.acceptanceDelay)
-	defer acceptanceTimer.Stop()
-	select {
-	case a := <-answers:
-		return a.list, a.err
-	case <-begun: // a long answer is not a watch that waits for a change
-	case <-acceptanceTimer.C:
-		if watch {
-			c.emit(ctx, Event{WatchAccepted: true})
-		}
-		select {
-		case a := <-answers:
-			return a.list, a.err
-		case <-begun:
-		}
-	}
-	if c.pushed { // changes are being transferred, and the transfer may fail
-		acceptanceTimer.Reset(c.timing.acceptanceDelay)
+	begun, progress := l.begun, Event{WatchAccepted: l.isWatch()}
+	reportTimer := time.NewTimer(max(c.timing.acceptanceDelay, c.answerDelay*3/2))
+	defer reportTimer.Stop()
+	for {
 		select {
-		case a := <-answers:
-			return a.list, a.err
-		case <-acceptanceTimer.C:
-			c.emit(ctx, Event{AnswerBegun: true})
+		case <-l.ended:
+			return l.err
+		case <-l.overdue:
+			if l.hasEnded() {
+				return l.err
+			}
+			c.keepOverdue(l)
+			return l.overdueError()
+		case <-begun: // a long answer is not a watch that waits for a change
+			begun, progress = nil, Event{AnswerBegun: c.pushed, CurrentAsOf: c.unansweredSince(l)}
+			reportTimer.Reset(c.timing.acceptanceDelay)
+		case <-reportTimer.C:
+			if progress.WatchAccepted || progress.AnswerBegun { // changes are being transferred, and the transfer may fail
+				c.emit(ctx, progress)
+			}
+		case <-c.callEnded:
+			c.handleLateAnswers(ctx)
 		}
 	}
-	a := <-answers
-	return a.list, a.err
 }
 
 // saveUpdate saves the last update on disk once it is applied: the update alone, or the whole list. If a list did not
@@ -412,20 +520,34 @@
 	}
 }
 
-// awaitApplied waits until the receiver has applied the last update. An answer that is compared with the directory
-// before that would be compared with an old list.
-func (c *Client) awaitApplied(ctx context.Context) error {
-	if c.applied == nil {
-		return nil
-	}
-	select {
-	case <-c.applied:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
+// awaitApplied waits until the receiver has applied the last update, and returns the revision of the directory. An
+// answer that is compared with the directory before that would be compared with an old list.
+func (c *Client) awaitApplied(ctx context.Context) (revision int, err error) {
+	for {
+		c.mu.Lock()
+		applied, revision := c.applied, c.revision
+		c.mu.Unlock()
+		if applied == nil {
+			return revision, nil
+		}
+		select {
+		case <-applied:
+		case <-ctx.Done():
+			return 0, ctx.Err()
+		}
+		if c.currentRevision() == revision {
+			return revision, nil
+		}
 	}
 }
 
+// currentRevision returns the number of updates that changed the directory.
+func (c *Client) currentRevision() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.revision
+}
+
 // nextBackoff returns the pause after an unusable answer, or after an empty one that did not wait. It grows until
 // another answer arrives, also across watches.
 func (c *Client) nextBackoff() time.Duration {
@@ -438,16 +560,23 @@
 	if pause > 0 {
 		c.log.Debug("pause before the next list call", "for", pause.String())
 	}
-	select {
-	case <-ctx.Done():
-	case <-c.wake:
-	case <-time.After(pause):
+	for over := time.After(pause); ; {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+			return
+		case <-over:
+			return
+		case <-c.callEnded:
+			c.handleLateAnswers(ctx)
+		}
 	}
 }
 
-// beginCall returns the context and the base URL of the next call, and whether the address has changed since the last
-// one.
-func (c *Client) beginCall(ctx context.Context) (call context.Context, base string, moved bool) {
+// beginCall makes l the call in progress, with the current address. It reports whether the address has changed since the
+// last call.
+func (c *Client) beginCall(l *call) (moved bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	moved, c.addressChanged = c.addressChanged, false
@@ -455,16 +584,15 @@
 	case <-c.wake: // this call goes to the new address
 	default:
 	}
-	call, c.cancelCall = context.WithCancel(ctx)
-	return call, c.baseURL, moved
+	l.base, c.currentCall = c.baseURL, l
+	return moved
 }
 
-// endCall releases the context of a call and reports whether discovery's address has changed since it began.
+// endCall ends the call in progress and reports whether discovery's address has changed since it began.
 func (c *Client) endCall() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cancelCall()
-	c.cancelCall = nil
+	c.currentCall = nil
 	return c.addressChanged
 }
 
@@ -482,107 +610,20 @@
 	return c.baseURL
 }
 
-// SetAddress changes the address of discovery. A call to the old one that is in progress is cancelled.
+// SetAddress changes the address of discovery. Calls to the old one that are in progress or overdue are cancelled.
 func (c *Client) SetAddress(addr string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.baseURL, c.addressChanged = "http://"+addr, true
-	if c.cancelCall != nil {
-		c.cancelCall()
+	if c.currentCall != nil {
+		c.currentCall.cancel()
+	}
+	for _, l := range c.lateCalls {
+		l.cancel()
 	}
+	c.lateCalls = nil
 	select {
 	case c.wake <- struct{}{}:
 	default: // a wake-up that is still pending covers this change too
 	}
 }
-
-// fetchList makes a call and reads its answer. The answer has to begin within limit; from then on data has to keep
-// coming. begun is closed when the first byte of the body arrives.
-func (c *Client) fetchList(ctx context.Context, url string, limit time.Duration,
-	begun chan<- struct{}) (*answer, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	deadline := time.Now().Add(limit)
-	timeoutTimer := time.AfterFunc(limit, func() { cancel(errUnresponsive) })
-	defer timeoutTimer.Stop()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, err
-	}
-	resp, err := c.httpClient.Do(req)
-	if err != nil {
-		if cause := context.Cause(ctx); cause != nil {
-			err = cause
-		}
-		return nil, err
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		c.discardTrailing(resp.Body, timeoutTimer)
-		if resp.StatusCode == http.StatusServiceUnavailable {
-			return nil, errUnavailable
-		}
-		return nil, fmt.Errorf("discovery answered %s", resp.Status)
-	}
-	if resp.ContentLength > c.maxAnswerBytes {
-		return nil, fmt.Errorf("%w: %d bytes, the limit is %d", errListTooLarge, resp.ContentLength, c.maxAnswerBytes)
-	}
-	timeLeft := time.Until(deadline)
-	timeoutTimer.Stop() // the wait that follows is not caused by discovery
-	if err := c.awaitApplied(ctx); err != nil {
-		return nil, err
-	}
-	timeoutTimer.Reset(timeLeft)
-	body := &progressReader{input: resp.Body, timeoutTimer: timeoutTimer, maxBytes: c.maxAnswerBytes, begun: begun,
-		stallTimeout: c.timing.stallTimeout, maxTimedBytes: c.maxAnswerBytes}
-	if known := c.directory.Len(); c.timing.limitTransferTime && known > 0 {
-		body.maxTimedBytes = max(minTimedBytes, 2*int64(known)*typicalRowBytes)
-	}
-	list, err := c.directory.readAnswer(bufio.NewReaderSize(body, readBufferBytes), int(c.maxAnswerBytes/minRowBytes))
-	switch cause := context.Cause(ctx); {
-	case errors.Is(err, errListTooLarge):
-		return nil, err
-	case err != nil && cause != nil:
-		return nil, fmt.Errorf("%w: timed out after %d bytes: %w", errUnreadable, body.bytesRead, cause)
-	case err != nil:
-		return nil, fmt.Errorf("%w: %w", errUnreadable, err)
-	}
-	c.discardTrailing(resp.Body, timeoutTimer)
-	return list, nil
-}
-
-// discardTrailing reads the few bytes that may follow an answer, so that its connection can be reused.
-func (c *Client) discardTrailing(body io.Reader, timeoutTimer *time.Timer) {
-	timeoutTimer.Reset(trailingTimeout)
-	io.Copy(io.Discard, io.LimitReader(body, maxTrailingBytes))
-}
-
-// progressReader reads the body of an answer, up to a number of bytes. It restarts the time limit of the call as data
-// arrives: at most stallTimeout between bytes and, as a whole, stallTimeout and the time that the bytes so far take at
-// minBytesPerSecond.
-type progressReader struct {
-	input         io.Reader
-	timeoutTimer  *time.Timer // ends the call when it expires
-	maxBytes      int64
-	bytesRead     int64
-	begun         chan<- struct{} // closed at the first byte
-	firstByteAt   time.Time
-	stallTimeout  time.Duration // between bytes
-	maxTimedBytes int64         // bytes that extend the time limit
-}
-
-func (p *progressReader) Read(b []byte) (int, error) {
-	n, err := p.input.Read(b)
-	if n > 0 && p.bytesRead == 0 {
-		p.firstByteAt = time.Now()
-		close(p.begun)
-	}
-	if p.bytesRead += int64(n); p.bytesRead > p.maxBytes {
-		return 0, fmt.Errorf("%w: over %d bytes, the limit is %d", errListTooLarge, p.bytesRead, p.maxBytes)
-	}
-	if n > 0 {
-		timeLimit := p.stallTimeout + time.Duration(min(p.bytesRead, p.maxTimedBytes))*time.Second/minBytesPerSecond
-		p.timeoutTimer.Reset(min(p.stallTimeout, timeLimit-time.Since(p.firstByteAt)))
-	}
-	return n, err
-}
--- a/internal/discovery/faults_test.go
+++ b/internal/discovery/faults_test.go
@@ -24,12 +24,9 @@
 
 // Times at which a change counts as known, whether or not it has arrived, and intervals of the scenario.
 const (
-	// After discovery had it and could be reached, or a watch became unresponsive.
-	knownDelay           = 6 * time.Second
-	unansweredHoldMargin = 2 * time.Second        // after the hold time of a call that gets no answer, if that is later
-	timeTolerance        = 50 * time.Millisecond  // tolerance of every time limit
-	messageInterval      = 200 * time.Millisecond // between messages
-	changeInterval       = 500 * time.Millisecond // between changes, where they follow each other closely
+	timeTolerance   = 50 * time.Millisecond  // tolerance of every time limit
+	messageInterval = 200 * time.Millisecond // between messages
+	changeInterval  = 500 * time.Millisecond // between changes, where they follow each other closely
 )
 
 // callFaults are the faults of a call for the list. "silent" gets no answer. "quiet watch" waits for a change and
@@ -53,6 +50,9 @@
 	goodCalls     int           // calls that are answered before the script begins
 	pendingFaults []string
 	quietAfter    time.Duration // after which a quiet watch becomes unresponsive
+	slow          slowDiscovery // how discovery answers the calls that have no fault
+	moveAt        time.Duration // discovery moves to another address; 0 for never
+	upgradeAt     time.Duration // another process takes over; 0 for never
 	drainGrace    time.Duration // how long a draining endpoint may still be called once that is known
 	callCount     int
 	faultyCalls   []faultyCall
@@ -159,10 +159,7 @@
 		if !s.awaitUp(disconnected) {
 			return
 		}
-		count := 0
-		for count < len(s.changeTimes) && s.changeTimes[count] <= s.elapsed() {
-			count++
-		}
+		count := s.changeCount()
 		if whole || count > int(from) {
 			if fault == "stalled news" || fault == "torn news" {
 				fmt.Fprintf(conn, "HTTP/1.1 200 x\r\nContent-Length: 4000\r\n\r\n"+
@@ -183,7 +180,7 @@
 				s.faultyCalls, s.pendingFaults = s.faultyCalls[:len(s.faultyCalls)-1], append([]string{fault}, s.pendingFaults...)
 				s.mu.Unlock()
 			}
-			s.writeAnswer(conn, int(from), count, whole)
+			s.slow.answer(s, conn, s.answerText(int(from), count, whole))
 			return
 		}
 		nextChange := make(<-chan time.Time)
@@ -200,7 +197,7 @@
 				return
 			}
 			if fault == "" {
-				s.writeAnswer(conn, count, count, false)
+				s.slow.answer(s, conn, s.answerText(count, count, false))
 				return
 			}
 			s.mu.Lock()
@@ -214,8 +211,16 @@
 	}
 }
 
-// writeAnswer writes the whole list, or the changes between two generations.
-func (s *faultScenario) writeAnswer(conn net.Conn, from, to int, whole bool) {
+// changeCount returns the number of changes so far: the generation of the list.
+func (s *faultScenario) changeCount() (count int) {
+	for count < len(s.changeTimes) && s.changeTimes[count] <= s.elapsed() {
+		count++
+	}
+	return count
+}
+
+// answerText returns an answer with the whole list, or with the changes between two generations.
+func (s *faultScenario) answerText(from, to int, whole bool) string {
 	list := List{Generation: int64(to), Reset: whole, Instances: []Instance{}}
 	if whole {
 		list.Instances = s.wholeList(to)
@@ -228,7 +233,7 @@
 	if err != nil {
 		panic(err)
 	}
-	fmt.Fprintf(conn, "HTTP/1.1 200 x\r\nConnection: close\r\n\r\n%s", text)
+	return "HTTP/1.1 200 x\r\nConnection: close\r\n\r\n" + string(text)
 }
 
 func testInstance(n int, state string) Instance {
@@ -253,8 +258,11 @@
 		Classes: []logic.Class{{Name: "a", Aim: logic.Second, Deadline: 2 * logic.Second, Worth: 1, LateWorth: 0.5}},
 		Kinds:   kinds, DrainGrace: micros(s.drainGrace), FallMultiple: 2, FallWindow: 2 * logic.Second,
 		ColdFrom: 0.2, WarmAfter: 14 * logic.Second, LimitLeftIndex: -1, LimitIndex: -1}
-	if senders >= SpreadMinSenders && !s.pushed {
-		settings.MaxListAge = micros(MaxListAge) + settings.DrainGrace
+	if !s.pushed {
+		settings.MaxAnsweredListAge = micros(MaxListAge) + settings.DrainGrace
+	}
+	if senders >= SpreadMinSenders {
+		settings.MaxListAge = settings.MaxAnsweredListAge
 	}
 	sender, err := logic.New(settings, seed)
 	if err != nil {
@@ -262,18 +270,26 @@
 	}
 	s.startedAt, s.arrivalTimes = time.Now(), make([]time.Duration, len(s.changeTimes))
 	directory, events := NewDirectory(nil, kinds), make(chan any, 64)
-	client := NewClient(Config{Addr: "d:1", Senders: senders, Pushed: s.pushed, DrainGrace: s.drainGrace, Seed: seed,
-		Directory: directory, Log: slog.New(slog.DiscardHandler), Dial: s.dial}, events)
+	newClient := func() *Client {
+		return NewClient(Config{Addr: "d:1", Senders: senders, Pushed: s.pushed, DrainGrace: s.drainGrace, Seed: seed,
+			Directory: directory, Log: slog.New(slog.DiscardHandler), Dial: s.dial}, events)
+	}
+	client := newClient()
 	directory.Apply(&Update{Whole: true, Rows: s.wholeList(0)}, time.Now())
 	client.SetInitialState(0, !s.pushed || seed%2 == 0) // where the list is pushed, the same limits hold for a first start
 	ctx, stop := context.WithCancel(t.Context())
 	var watches sync.WaitGroup
 	watching, inputs := s.pushed, []logic.Event{
 		logic.ListUpdate{Form: logic.ListSaved, Entries: directory.Entries(), Stale: true}}
-	if watching { // the decision logic need not request a watch
+	startWatch := func() {
+		ctx, client := ctx, client
 		watches.Go(func() { client.Watch(ctx) })
 	}
+	if watching { // the decision logic need not request a watch
+		startWatch()
+	}
 	messages, end := time.NewTicker(messageInterval), time.After(duration)
+	move, upgrade := afterIfSet(s.moveAt), afterIfSet(s.upgradeAt)
 	var wake <-chan time.Time
 	for id := 0; ; {
 		for len(inputs) > 0 {
@@ -296,7 +312,7 @@
 				case logic.Listen:
 					if !watching {
 						watching = true
-						watches.Go(func() { client.Watch(ctx) })
+						startWatch()
 					}
 				}
 			}
@@ -306,6 +322,23 @@
 			id++
 			inputs = append(inputs, logic.NewMessage{ID: fmt.Sprint("m", id), TimeLeft: 2 * logic.Second, Tenant: -1})
 		case <-wake:
+		case <-move:
+			client.SetAddress("d:2")
+			inputs = append(inputs, logic.DiscoveryMoved{})
+		case <-upgrade:
+			stop()
+			watches.Wait()
+			generation := client.generation
+			ctx, stop = context.WithCancel(t.Context())
+			for len(events) > 0 { // of the old process
+				<-events
+			}
+			client, watching = newClient(), true
+			client.SetInitialState(generation, true)
+			if sender, err = logic.Resume(settings, seed, sender.Save()); err != nil {
+				t.Fatal(err)
+			}
+			startWatch()
 		case <-end:
 			messages.Stop()
 			stop()
@@ -323,18 +356,19 @@
 	}
 }
 
+// afterIfSet returns a channel that receives after a delay, or never if it is 0.
+func afterIfSet(delay time.Duration) <-chan time.Time {
+	if delay == 0 {
+		return nil
+	}
+	return time.After(delay)
+}
+
 // handleEvent applies an event of the client and returns the events for the decision logic.
 func (s *faultScenario) handleEvent(directory *Directory, ev Event, watching *bool) []logic.Event {
-	switch {
-	case ev.Err != nil:
-		*watching = false
-		return []logic.Event{logic.ListUpdate{Form: logic.ListRequestFailed, Unresponsive: ev.Unresponsive}}
-	case ev.WatchAccepted:
-		return []logic.Event{logic.ListUpdate{Form: logic.ListWatchOpen}}
-	case ev.AnswerBegun:
-		return []logic.Event{logic.ListUpdate{Form: logic.ListAnswerBegun}}
-	case ev.UnusableAnswer:
-		return []logic.Event{logic.ListUpdate{Form: logic.ListAnswerUnusable}}
+	if !ev.HasUpdate {
+		*watching = *watching && ev.Err == nil
+		return []logic.Event{ev.ListUpdate(time.Now(), nil)}
 	}
 	entries := directory.Apply(&ev.Update, time.Now())
 	ev.Done()
@@ -343,7 +377,7 @@
 			s.arrivalTimes[n] = s.elapsed()
 		}
 	}
-	return []logic.Event{logic.ListUpdate{Form: logic.ListDelta, Entries: entries}}
+	return []logic.Event{ev.ListUpdate(time.Now(), entries)}
 }
 
 // knownAt returns when a change counts as known. Faults of calls before it arrived delay that.
--- a/internal/httpconn/transport.go
+++ b/internal/httpconn/transport.go
@@ -42,6 +42,11 @@
 		Max: cfg.MaxIdle, OnExtraBytes: cfg.OnExtraBytes})}
 }
 
+// CloseIdleConnections closes the connections that are kept. The method of the same name of http.Client calls it.
+func (t *Transport) CloseIdleConnections() {
+	t.pool.closeWhere(func(string, *Conn) bool { return true })
+}
+
 type freshConnKey struct{}
 
 // WithFreshConn returns a context whose requests go over new connections.
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -164,6 +164,8 @@
 	listDelay       time.Duration // delays the response to the next request for the list
 	rejectNotices   bool          // rejects notices with 503
 	truncateLists   bool          // sends only the first half of a list
+	answerTime      time.Duration // how long each answer with a list, or 503, takes
+	answerPieces    int           // in which it comes; 0 for one, at the end of that time
 }
 
 func newTestPlatform(t *testing.T) *testPlatform {
@@ -200,8 +202,10 @@
 	for {
 		p.mu.Lock()
 		list, changed, down, unresponsive, truncate := p.list, p.listChanged, p.down, p.unresponsive, p.truncateLists
+		answerTime, pieces := p.answerTime, p.answerPieces
 		p.mu.Unlock()
 		if down {
+			time.Sleep(answerTime)
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -213,14 +217,15 @@
 			if truncate {
 				text = text[:len(text)/2]
 			}
-			w.Write(text)
+			writeSlowly(w, text, answerTime, pieces)
 			return
 		}
 		select {
 		case <-changed:
 		case <-holdTimer.C:
 			if !unresponsive {
-				fmt.Fprintf(w, `{"generation":%d,"reset":false,"instances":[]}`, list.Generation)
+				text := fmt.Appendf(nil, `{"generation":%d,"reset":false,"instances":[]}`, list.Generation)
+				writeSlowly(w, text, answerTime, pieces)
 				return
 			}
 		case <-r.Context().Done():
@@ -229,6 +234,16 @@
 	}
 }
 
+// writeSlowly writes an answer in pieces that are spread over a time.
+func writeSlowly(w http.ResponseWriter, text []byte, duration time.Duration, pieces int) {
+	pieces = max(pieces, 1)
+	for i := range pieces {
+		time.Sleep(duration / time.Duration(pieces))
+		w.Write(text[i*len(text)/pieces : (i+1)*len(text)/pieces])
+		http.NewResponseController(w).Flush()
+	}
+}
+
 func (p *testPlatform) serveOutcomes(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	reject := p.rejectNotices
--- a/internal/node/membership.go
+++ b/internal/node/membership.go
@@ -69,25 +69,17 @@
 }
 
 func (n *Node) handleListEvent(ev discovery.Event) {
-	if ev.Err != nil {
+	if !ev.HasUpdate {
+		n.nextEvents = append(n.nextEvents, ev.ListUpdate(time.Now(), nil))
+		if ev.Err == nil {
+			return
+		}
 		n.watching = false
-		n.nextEvents = append(n.nextEvents, logic.ListUpdate{Form: logic.ListRequestFailed, Unresponsive: ev.Unresponsive, NotSent: ev.NotSent})
 		if n.watcher.AddressChanged() { // during the request: it was the old address that failed
 			n.nextEvents = append(n.nextEvents, logic.DiscoveryMoved{})
 		}
 		return
 	}
-	switch {
-	case ev.WatchAccepted:
-		n.nextEvents = append(n.nextEvents, logic.ListUpdate{Form: logic.ListWatchOpen})
-		return
-	case ev.AnswerBegun:
-		n.nextEvents = append(n.nextEvents, logic.ListUpdate{Form: logic.ListAnswerBegun})
-		return
-	case ev.UnusableAnswer:
-		n.nextEvents = append(n.nextEvents, logic.ListUpdate{Form: logic.ListAnswerUnusable})
-		return
-	}
 	update := &ev.Update
 	n.listGeneration = update.Generation
 	rows := n.directory.Apply(update, time.Now())
@@ -105,7 +97,7 @@
 	}
 	// A whole list is passed on as its differences, like an update. Either also tells the decision logic that the list
 	// is current.
-	n.nextEvents = append(n.nextEvents, logic.ListUpdate{Form: logic.ListDelta, Entries: rows})
+	n.nextEvents = append(n.nextEvents, ev.ListUpdate(time.Now(), rows))
 	if len(rows) == 0 {
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -115,8 +115,12 @@
 // setMembershipMode sets the list settings of the decision logic that depend on how the list arrives.
 func setMembershipMode(settings *logic.Settings) {
 	settings.ListPushed = !settings.ListOnRequest
-	if settings.ListOnRequest && settings.Senders >= discovery.SpreadMinSenders { // list requests are spread out then
-		settings.MaxListAge = toMicros(discovery.MaxListAge) + settings.DrainGrace
+	if settings.ListPushed {
+		return
+	}
+	settings.MaxAnsweredListAge = toMicros(discovery.MaxListAge) + settings.DrainGrace
+	if settings.Senders >= discovery.SpreadMinSenders { // list requests are spread out then
+		settings.MaxListAge = settings.MaxAnsweredListAge
 	}
 }
 
--- a/internal/scale/discovery_test.go
+++ b/internal/scale/discovery_test.go
@@ -252,8 +252,9 @@
 func (s *listSender) start(generation int64, restart bool) {
 	f := s.fleet
 	settings := f.deployment.Settings
+	settings.MaxAnsweredListAge = logic.Micros(discovery.MaxListAge/time.Microsecond) + settings.DrainGrace
 	if settings.Senders >= discovery.SpreadMinSenders {
-		settings.MaxListAge = logic.Micros(discovery.MaxListAge/time.Microsecond) + settings.DrainGrace
+		settings.MaxListAge = settings.MaxAnsweredListAge
 	}
 	s.seed += 1 << 20 // another seed for each start
 	sender, err := logic.New(settings, s.seed)
@@ -358,22 +359,17 @@
 			case logic.TimerExpired:
 				pending = append(pending, ev)
 			case discovery.Event:
-				switch {
-				case ev.Err != nil:
+				if ev.HasUpdate {
+					s.directory.Apply(&ev.Update, time.Now())
+					ev.Done()
+					appliedGeneration = ev.Update.Generation
+				}
+				pending = append(pending, ev.ListUpdate(time.Now(), nil))
+				if ev.Err != nil {
 					watching = false
-					pending = append(pending, logic.ListUpdate{Form: logic.ListRequestFailed})
 					if client.AddressChanged() {
 						pending = append(pending, logic.DiscoveryMoved{})
 					}
-				case ev.WatchAccepted:
-					pending = append(pending, logic.ListUpdate{Form: logic.ListWatchOpen})
-				default:
-					s.directory.Apply(&ev.Update, time.Now())
-					if ev.Done != nil {
-						ev.Done()
-					}
-					appliedGeneration = ev.Update.Generation
-					pending = append(pending, logic.ListUpdate{Form: logic.ListDelta})
 				}
 			}
 		}
--- a/logic/handover.go
+++ b/logic/handover.go
@@ -26,6 +26,7 @@
 	Watched    bool            // watchOpen
 	Silent     bool            `json:",omitempty"` // agentUnresponsive
 	UnusableAt Micros          `json:",omitempty"` // unusableAnswerAt
+	FaultyAt   Micros          `json:",omitempty"` // faultyAnswerAt
 	Old        bool            // listSaved
 	Banned     []EndpointID
 	ByClass    []savedHistogram   // classHistograms
@@ -212,7 +213,7 @@
 	out := Saved{Now: s.now, Seq: s.lastSeq, Logs: s.logLines, Stray: s.chanceFailureRate,
 		MeanWorth: s.meanWorth, Turned: s.rejectedShare, Room: s.newConnsSinceRejected,
 		AskAt: s.listRequestAt, AskGap: s.listRetryDelay, ListAt: s.listConfirmedAt, Watched: s.watchOpen,
-		Old: s.listSaved, Silent: s.agentUnresponsive, UnusableAt: s.unusableAnswerAt,
+		Old: s.listSaved, Silent: s.agentUnresponsive, UnusableAt: s.unusableAnswerAt, FaultyAt: s.faultyAnswerAt,
 		Banned: slices.Sorted(maps.Keys(s.banned)), Keys: map[string]savedKeyQueue{}}
 	for i := range s.classHistograms {
 		out.ByClass = append(out.ByClass, s.classHistograms[i].save())
@@ -311,8 +312,9 @@
 	s.listRequestAt, s.listRetryDelay, s.listConfirmedAt, s.watchOpen, s.listSaved = saved.AskAt, saved.AskGap,
 		saved.ListAt, saved.Watched, saved.Old
 	s.agentUnresponsive, s.unusableAnswerAt = saved.Silent, saved.UnusableAt
-	if s.settings.ListPushed { // the watch of the previous process is over, and this one has none yet
-		s.endWatch()
+	s.faultyAnswerAt = max(saved.FaultyAt, saved.UnusableAt) // an earlier version hands over the first time only
+	if s.settings.ListPushed {                               // the watch of the previous process is over, and this one has none yet
+		s.endWatch(0)
 	}
 	maps.Copy(s.rejectedShare, saved.Turned)
 	maps.Copy(s.newConnsSinceRejected, saved.Room)
--- a/logic/list_lease.go
+++ b/logic/list_lease.go
@@ -4,8 +4,9 @@
 // certain only for the time at which discovery wrote it. A later change, such as an endpoint that
 // begins to drain, counts as known to this sender some time after it was made, whether or not the
 // update has arrived. Once that time has passed, nothing is sent until the list is confirmed by an
-// update or a watch. The wait is limited, since discovery may be down for longer; then the list is used
-// as it is.
+// update or a watch. If discovery is silent, the wait is limited, since it may be down for longer; then
+// the list is used as it is. Discovery that answers is not silent, whether its answers are late, cannot be
+// used or are rejections: the wait goes on while they come.
 
 const (
 	// Nothing is sent on a stale list for this long. Then it is used again, as discovery may be down for
@@ -37,8 +38,9 @@
 	// Longest time from reading the clock to writing a call to the connection, or from the arrival of a
 	// list answer to its ListUpdate.
 	maxProcessingDelay = Second / 4
-	// ListPushed: sends wait for at most this long while the agent gives no answer that can be used.
-	maxUnusableListWait = 10 * Second
+	// After an answer that was late, unusable or a rejection, sends wait for an update for at most this
+	// long without another answer: discovery may have fallen silent.
+	maxFaultyAnswerWait = 10 * Second
 	// An agent that gives no answer at all for this long counts as one that has lost discovery.
 	maxUnresponsiveWait = Second
 )
@@ -47,39 +49,16 @@
 func (s *Sender) applyListUpdate(ev ListUpdate) {
 	switch ev.Form {
 	case ListAnswerBegun, ListAnswerUnusable:
-		s.noteUnusableAnswer()
+		s.noteUnusableAnswer(ev)
 		return
-	}
-	watchFailed := ev.Form == ListRequestFailed && s.watchOpen
-	if ev.Form != ListRequestFailed || watchFailed {
-		s.listConfirmedAt = s.now
-	}
-	s.listRequestUnsent = ev.Form == ListRequestFailed && ev.NotSent
-	if s.listRequestUnsent && s.settings.ListPushed && !watchFailed {
-		s.noteUnsentRequest()
+	case ListRequestFailed:
+		s.noteFailedRequest(ev)
 		return
 	}
-	if ev.Form == ListRequestFailed && s.settings.ListPushed {
-		s.listSaved = s.listSaved && !watchFailed
-		s.agentUnresponsive = ev.Unresponsive && !watchFailed
-		if s.agentUnresponsive {
-			s.agentSilentAt = s.now
-		}
-	} else {
-		s.listSaved = ev.Form == ListSaved && ev.Stale
-		s.agentUnresponsive = false
-	}
-	if s.watchOpen = ev.Form == ListWatchOpen; s.watchOpen {
-		return
-	}
-	if ev.Form == ListRequestFailed {
-		if s.settings.ListPushed && !ev.Unresponsive { // the agent is up and may have an update
-			s.noteUnusableAnswer()
-		}
-		s.scheduleListRetry(watchFailed)
+	s.noteListAnswer(ev)
+	if ev.Form == ListWatchOpen {
 		return
 	}
-	s.unusableAnswerAt = 0
 	if s.listRequestAt == never {
 		s.listRetryDelay = firstListRetryMicros
 	}
@@ -91,26 +70,79 @@
 	}
 }
 
-// endWatch records that the watch is closed and changes no longer arrive as they happen. The list is
-// confirmed up to this time.
-func (s *Sender) endWatch() {
+// noteListAnswer records an update of the list, or that a watch is open. A late update shows that discovery
+// answers, but not soon: its requests without an answer are no silence.
+func (s *Sender) noteListAnswer(ev ListUpdate) {
+	confirmedAt := s.now - ev.Age
+	s.listRequestUnsent, s.agentUnresponsive = false, false
+	s.listSaved = ev.Form == ListSaved && ev.Stale
+	if ev.Late {
+		s.listConfirmedAt = max(s.listConfirmedAt, confirmedAt)
+		s.unusableAnswerAt, s.faultyAnswerAt = 0, max(s.now, 1)
+		return
+	}
+	if s.watchOpen = ev.Form == ListWatchOpen; s.watchOpen { // the list is confirmed once the watch ends
+		return
+	}
+	s.listConfirmedAt, s.unusableAnswerAt, s.faultyAnswerAt = confirmedAt, 0, 0
+}
+
+// noteFailedRequest records a request that failed, or a watch that ended, and schedules the next one.
+func (s *Sender) noteFailedRequest(ev ListUpdate) {
+	watchFailed := s.watchOpen
+	if ev.Rejected { // the watch was not open, but waited for this answer
+		s.watchOpen, s.faultyAnswerAt = false, max(s.now, 1)
+	}
+	s.endWatch(ev.Age)
+	s.listRequestUnsent = ev.NotSent
+	if !s.settings.ListPushed {
+		s.listSaved, s.agentUnresponsive = false, false
+		s.scheduleListRetry(watchFailed)
+		return
+	}
+	if ev.NotSent && !watchFailed {
+		s.noteUnsentRequest()
+		return
+	}
+	s.listSaved = s.listSaved && !watchFailed
+	if s.agentUnresponsive = ev.Unresponsive && !watchFailed; s.agentUnresponsive {
+		s.agentSilentAt = s.now
+	}
+	if !ev.Unresponsive { // the agent is up and may have an update
+		s.noteUnusableAnswer(ev)
+	}
+	s.scheduleListRetry(watchFailed)
+}
+
+// endWatch records that the watch is closed and changes no longer arrive as they happen. The list was
+// confirmed a time ago, its age.
+func (s *Sender) endWatch(age Micros) {
 	if s.watchOpen {
-		s.watchOpen, s.listConfirmedAt = false, s.now
+		s.watchOpen, s.listConfirmedAt = false, s.now-age
 	}
 }
 
 // noteUnusableAnswer records an answer that cannot be used, or not yet. What it holds counts as known
 // to the sender. An agent that gave no answer before counts as responsive again, so that the list is
 // not taken to be unchanged.
-func (s *Sender) noteUnusableAnswer() {
-	s.endWatch()
-	if s.unusableAnswerAt != 0 {
+func (s *Sender) noteUnusableAnswer(ev ListUpdate) {
+	if ev.Late && s.watchOpen { // a later request was accepted
 		return
 	}
-	if s.agentUnresponsive { // the agent had lost discovery until this answer
-		s.listConfirmedAt = s.now
+	s.endWatch(ev.Age)
+	if s.agentUnresponsive && !s.discoveryHeard() { // the agent had lost discovery until this answer
+		s.listConfirmedAt = max(s.listConfirmedAt, s.now-ev.Age)
+	}
+	s.agentUnresponsive, s.faultyAnswerAt = false, max(s.now, 1)
+	if s.unusableAnswerAt == 0 {
+		s.unusableAnswerAt = max(s.now, 1)
 	}
-	s.agentUnresponsive, s.unusableAnswerAt = false, max(s.now, 1)
+}
+
+// discoveryHeard reports whether discovery, or its agent, has answered lately, though late, with an answer
+// that cannot be used or with a rejection. It is not silent then, even if a request got no answer in time.
+func (s *Sender) discoveryHeard() bool {
+	return s.faultyAnswerAt != 0 && s.now < s.faultyAnswerAt+maxFaultyAnswerWait
 }
 
 // noteUnsentRequest records that a request could not be sent. Whether the agent is still unresponsive is
@@ -219,12 +251,12 @@
 	switch {
 	case s.now < validUntil:
 		return distantPast
-	case s.unusableAnswerAt != 0:
-		return max(validUntil, s.unusableAnswerAt) + maxUnusableListWait
+	case s.faultyAnswerAt != 0:
+		return max(validUntil, s.faultyAnswerAt) + maxFaultyAnswerWait
 	case s.listSaved: // the agent may have given the previous process changes that the list lacks
-		return min(validUntil+maxUnusableListWait, max(validUntil+maxSavedListWaitMicros, m.listWaitUntil))
+		return min(validUntil+maxFaultyAnswerWait, max(validUntil+maxSavedListWaitMicros, m.listWaitUntil))
 	case s.listRequestUnsent: // the agent may be up and have an update
-		return validUntil + maxUnusableListWait
+		return validUntil + maxFaultyAnswerWait
 	case s.agentUnresponsive:
 		return distantPast
 	}
@@ -241,7 +273,7 @@
 	if s.now < validUntil {
 		return distantPast
 	}
-	return validUntil + maxStaleListWait
+	return max(validUntil, s.faultyAnswerAt) + maxFaultyAnswerWait
 }
 
 // staleListWaitUntil is unconfirmedUntil where the list is requested from discovery and no answer was
@@ -251,13 +283,32 @@
 	if savedUntil := s.savedListWaitUntil(m); s.listSaved && s.settings.MaxListAge > 0 && s.now < savedUntil {
 		return savedUntil
 	}
+	if s.watchOpen {
+		return distantPast
+	}
+	return max(s.silentListUsableAt(), s.answeredListUsableAt())
+}
+
+// silentListUsableAt returns until when a list that is older than MaxListAge is not used. Then it is used
+// again, as discovery may be down for longer.
+func (s *Sender) silentListUsableAt() Micros {
 	staleAt := s.listConfirmedAt + s.settings.MaxListAge
-	if s.settings.MaxListAge <= 0 || s.watchOpen || s.now < staleAt || s.now >= staleAt+maxStaleListWait {
+	if s.settings.MaxListAge <= 0 || s.now < staleAt {
 		return distantPast
 	}
 	return staleAt + maxStaleListWait
 }
 
+// answeredListUsableAt returns until when a list that is older than MaxAnsweredListAge is not used, as
+// discovery has answered lately, though not with an update.
+func (s *Sender) answeredListUsableAt() Micros {
+	staleAt := s.listConfirmedAt + s.settings.MaxAnsweredListAge
+	if s.settings.MaxAnsweredListAge <= 0 || s.now < staleAt || s.faultyAnswerAt == 0 {
+		return distantPast
+	}
+	return s.faultyAnswerAt + maxFaultyAnswerWait
+}
+
 // savedListWaitUntil returns until when sends wait for the first answer after a start on a saved list. A
 // message that a restart found untried waits for half of its time left at most.
 func (s *Sender) savedListWaitUntil(m *message) Micros {
--- a/logic/list_lease_test.go
+++ b/logic/list_lease_test.go
@@ -138,3 +138,42 @@
 		t.Logf("%d senders: smallest slack %.2f s: %s", senders, seconds(worst), worstText)
 	}
 }
+
+// Guards against a list that stays in use without an update while discovery answers with rejections or late. Where lists
+// are requested, MaxAnsweredListAge limits its age for as long as they come. A silent discovery may be down: its few
+// senders go on.
+func TestRequestedListIsNotUsedForLongWhileDiscoveryAnswers(t *testing.T) {
+	const maxAge = 7 * Second
+	rejected, silent := ListUpdate{Form: ListRequestFailed, Rejected: true}, ListUpdate{Form: ListRequestFailed, Unresponsive: true}
+	watched, late := ListUpdate{Form: ListWatchOpen}, ListUpdate{Form: ListDelta, Late: true, Age: 3 * Second}
+	type timed struct {
+		at     float64
+		update ListUpdate
+	}
+	for name, tc := range map[string]struct {
+		updates []timed
+		at      float64
+		sent    bool
+	}{
+		"silent":                              {[]timed{{2, silent}, {5, silent}}, 30, true},
+		"rejected, list young":                {[]timed{{2, rejected}}, 6.9, true},
+		"rejected, list old":                  {[]timed{{2, rejected}}, 7.1, false},
+		"rejected for long":                   {[]timed{{2, rejected}, {11, rejected}, {20, rejected}}, 29, false},
+		"rejected, then silent":               {[]timed{{2, rejected}, {8, silent}}, 12.1, true},
+		"late update, list young":             {[]timed{{6, silent}, {9, late}}, 12.9, true},
+		"late update, list old":               {[]timed{{6, silent}, {9, late}}, 13.1, false},
+		"watch accepted, then rejected":       {[]timed{{2, rejected}, {6, watched}, {10, rejected}}, 10.1, false},
+		"watch without an answer, rejections": {[]timed{{2, watched}, {6, ListUpdate{Form: ListRequestFailed, Unresponsive: true, Age: 4 * Second}}, {8, rejected}}, 9.1, false},
+	} {
+		settings := baseSettings()
+		settings.ListOnRequest, settings.MaxAnsweredListAge = true, maxAge
+		h := newHarness(t, settings)
+		h.step(0, fullList(1))
+		for _, e := range tc.updates {
+			h.step(e.at, e.update)
+		}
+		if n := len(actionsOf[CallOut](h.step(tc.at, h.newMessage(0)))); (n == 1) != tc.sent {
+			t.Errorf("%s: got %d sends at %.2f s, want a send: %v", name, n, tc.at, tc.sent)
+		}
+	}
+}
--- a/logic/pushed_list_test.go
+++ b/logic/pushed_list_test.go
@@ -5,7 +5,8 @@
 // Guards against sends on a stale list where an agent pushes it. The list is current while a watch is open. After a
 // watch has ended, or after an update without a watch, sends continue for the drain grace less maxProcessingDelay, and
 // then wait for the next update. An agent that does not answer at all has lost discovery and learns nothing new, so
-// sends continue on the list as it is. After a start on a saved list nothing is sent before the agent's first answer.
+// sends continue on the list as it is. An agent whose answers are late, unusable or rejections is not silent, even if
+// requests get no answer in time. After a start on a saved list nothing is sent before the agent's first answer.
 // If the agent does not answer, a message waits for half of its time.
 func TestPushedListIsUsedForTheDrainGrace(t *testing.T) {
 	const grace = Second
@@ -14,6 +15,8 @@
 	failed, unusable, begun :=
 		ListUpdate{Form: ListRequestFailed}, ListUpdate{Form: ListAnswerUnusable}, ListUpdate{Form: ListAnswerBegun}
 	update, notSent := ListUpdate{Form: ListDelta}, ListUpdate{Form: ListRequestFailed, NotSent: true}
+	rejected := ListUpdate{Form: ListRequestFailed, Rejected: true}
+	late := func(age Micros) ListUpdate { return ListUpdate{Form: ListDelta, Late: true, Age: age} }
 	type timed struct {
 		at     float64
 		update ListUpdate
@@ -53,10 +56,36 @@
 			11.7 + lease + 0.01, false},
 		"unresponsive again after a request that was not sent": {false,
 			[]timed{{0.1, watched}, {9, failed}, {12, notSent}, {12.5, unresponsive}}, 20, true},
-		"after a start":                     {true, nil, 0.01, false},
-		"after a start, answered":           {true, []timed{{0.01, update}}, 0.02, true},
-		"after a start, agent unresponsive": {true, []timed{{0.3, unresponsive}, {0.7, unresponsive}}, 2, false},
-		"after a start, unusable answer":    {true, []timed{{0.3, unusable}, {0.7, failed}}, 9, false},
+		"rejections for long": {false, []timed{{0.1, watched}, {9, rejected}, {18, rejected}, {27, rejected}}, 36, false},
+		"rejections, no answers in between": {false,
+			[]timed{{0.1, watched}, {9, rejected}, {12, unresponsive}, {18, rejected}, {21, unresponsive}}, 27, false},
+		"rejections, then the agent unresponsive for long": {false,
+			[]timed{{0.1, watched}, {9, rejected}, {12, unresponsive}, {19, unresponsive}}, 19.1, true},
+		"unusable answers for long": {false, []timed{{0.1, watched}, {9, unusable}, {18, unusable}, {27, unusable}}, 36, false},
+		"watch failed, confirmed at its start": {false,
+			[]timed{{0.1, watched}, {9, ListUpdate{Form: ListRequestFailed, Unresponsive: true, Age: Second / 2}}},
+			9 - 0.5 + lease + 0.01, false},
+		"late update": {false, []timed{{0.1, watched}, {9, failed}, {9.3, unresponsive}, {12, late(Second / 2)}},
+			12 - 0.5 + lease - 0.01, true},
+		"late update, no later one": {false, []timed{{0.1, watched}, {9, failed}, {9.3, unresponsive}, {12, late(Second / 2)}},
+			12 - 0.5 + lease + 0.01, false},
+		"late update, then no answer in time": {false,
+			[]timed{{0.1, watched}, {9, failed}, {9.3, unresponsive}, {12, late(Second / 2)}, {12.1, unresponsive}},
+			12 - 0.5 + lease + 0.01, false},
+		"late updates that are too old": {false,
+			[]timed{{0.1, watched}, {9, failed}, {9.3, unresponsive}, {12, late(2 * Second)}, {12.3, unresponsive}, {14, late(2 * Second)}},
+			14.01, false},
+		"update in time after late ones": {false,
+			[]timed{{0.1, watched}, {9, failed}, {9.3, unresponsive}, {12, late(2 * Second)}, {12.3, update}}, 12.4, true},
+		"agent unresponsive after an update in time": {false,
+			[]timed{{0.1, watched}, {9, failed}, {9.3, unresponsive}, {12, late(2 * Second)}, {12.3, update}, {12.7, unresponsive}},
+			14, true},
+		"after a start, rejections for long": {true, []timed{{0.3, rejected}, {9, rejected}, {18, rejected}}, 27, false},
+		"after a start, late update":         {true, []timed{{0.3, unresponsive}, {0.5, late(Second / 2)}}, 0.6, true},
+		"after a start":                      {true, nil, 0.01, false},
+		"after a start, answered":            {true, []timed{{0.01, update}}, 0.02, true},
+		"after a start, agent unresponsive":  {true, []timed{{0.3, unresponsive}, {0.7, unresponsive}}, 2, false},
+		"after a start, unusable answer":     {true, []timed{{0.3, unusable}, {0.7, failed}}, 9, false},
 	} {
 		settings := baseSettings()
 		settings.ListPushed, settings.DrainGrace = true, grace
@@ -86,7 +115,7 @@
 }
 
 // Guards against sends on a saved list before the agent's first answer. With an unresponsive agent a message waits for
-// half of its time. After an unusable answer it waits for a usable one, up to maxUnusableListWait.
+// half of its time. After an unusable answer it waits for a usable one, up to maxFaultyAnswerWait.
 func TestStartWaitsForTheAgentsAnswer(t *testing.T) {
 	for _, tc := range []struct {
 		update        ListUpdate
--- a/logic/state.go
+++ b/logic/state.go
@@ -186,7 +186,10 @@
 	agentSilentAt     Micros               // when that request ended
 	listRequestUnsent bool                 // this host could not send the last request for the list
 	// When the first unusable answer since the last usable one arrived; 0 if there is none.
-	unusableAnswerAt      Micros
+	unusableAnswerAt Micros
+	// When the last answer arrived that was late, unusable or a rejection; 0 if the last answer was none
+	// of these.
+	faultyAnswerAt        Micros
 	stopAt                Micros // when this sender stops; 0 if no stop is announced
 	logLines              int
 	manySenders           bool            // more senders than manySendersAbove
--- a/logic/types.go
+++ b/logic/types.go
@@ -112,6 +112,8 @@
 	// If the list was confirmed longer ago than this, sends wait for an update for a limited time; 0 for no such
 	// limit.
 	MaxListAge Micros
+	// The same while discovery answers, though not with an update: then sends wait for as long as it does.
+	MaxAnsweredListAge Micros
 
 	// After an outage a destination recovers: its capacity rises linearly from ColdFrom times its whole capacity
 	// to all of it, over WarmAfter. It is overloaded by more than FallMultiple times its current capacity during
@@ -183,7 +185,13 @@
 	Entries      []Entry
 	Stale        bool // ListSaved: changes may have been missed; an update with them is on its way
 	Unresponsive bool // ListRequestFailed: there was no answer at all
+	Rejected     bool // ListRequestFailed: discovery answered that it cannot serve the request
 	NotSent      bool // ListRequestFailed: this host could not send the request
+	// The answer came after its request had been reported as failed. Later requests may be under way.
+	Late bool
+	// How long ago the list was certain to be up to date, with this update or without an answer. Changes
+	// made since then may be missing.
+	Age Micros
 }
 
 // NewMessage is a new message, or one that this sender held before a restart.
