Fault tests: a timer belongs to the process that set it

The race detector found the upgrade of a scenario changing the context that timers of the old process read. Nothing but the test was affected.

--- a/internal/discovery/faults_test.go
+++ b/internal/discovery/faults_test.go
@@ -302,7 +302,7 @@
 					inputs = append(inputs, logic.AttemptResult{ID: a.ID, MessageEnded: true, Endpoint: a.Endpoint,
 						Outcome: logic.Completed, Duration: 1000})
 				case logic.SetTimer:
-					expired := logic.TimerExpired{Token: a.Token}
+					expired, ctx := logic.TimerExpired{Token: a.Token}, ctx
 					time.AfterFunc(time.Duration(a.Wait)*time.Microsecond, func() {
 						select {
 						case events <- expired:
