--- a/internal/discovery/late.go
+++ b/internal/discovery/late.go
@@ -74,6 +74,9 @@
 		}
 		err := c.checkAnswer(ctx, l)
 		c.noteEnd(l, err)
+		if err == nil || isAnswer(err) {
+			c.log.Log(ctx, c.failureLogLevel(), "discovery answers late", "took", time.Since(l.startedAt).String(), "err", err)
+		}
 		switch {
 		case err == nil:
 			c.meanBackoff = 0
