--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -25,6 +25,7 @@
 	onRequest := flag.Bool("on-request", false, "senders get the list only on request")
 	systemCalls := flag.Bool("system-calls", true, "let system calls of the senders fail; needs a C compiler")
 	extraBytes := flag.Bool("extra-bytes", true, "endpoints, agents and the platform send more than some good answers")
+	slowAgents := flag.Bool("slow-agents", false, "agents answer late at times, beside their other faults")
 	dir := flag.String("dir", "logs/soak", "directory for state and logs")
 	verbose := flag.Bool("v", false, "print each fault")
 	flag.Parse()
@@ -35,7 +36,7 @@
 			log = func(format string, args ...any) { fmt.Printf(format+"\n", args...) }
 		}
 		report, err := soak.Run(context.Background(), soak.Config{Seed: number, Program: *program, Senders: min(max(*senders, 1), 40),
-			ConfiguredSenders: *named, FaultPeriod: *span, SystemCallFaults: *systemCalls, ExtraBytes: *extraBytes, Pushed: !*onRequest, Dir: filepath.Join(*dir, fmt.Sprint(number)), Log: log})
+			ConfiguredSenders: *named, FaultPeriod: *span, SystemCallFaults: *systemCalls, ExtraBytes: *extraBytes, SlowAgents: *slowAgents, Pushed: !*onRequest, Dir: filepath.Join(*dir, fmt.Sprint(number)), Log: log})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			os.Exit(1)
--- a/internal/scale/standin/discovery.go
+++ b/internal/scale/standin/discovery.go
@@ -100,6 +100,7 @@
 	cachedListGeneration int64         // generation of cachedList
 	olderList            []byte        // an encoded list of generation 0, for the fault OlderList
 	faults               []Fault
+	answerDelay          time.Duration // of each regular answer with a list
 	conns                map[net.Conn]bool
 	senderCount          int // senders seen so far, to assign machines in turn
 	machineBySender      map[string]int
--- a/internal/scale/standin/fault.go
+++ b/internal/scale/standin/fault.go
@@ -42,6 +42,19 @@
 	d.faults = faults
 }
 
+// SetAnswerDelay delays each regular answer with a list from now on, whatever fault is active; 0 for none.
+func (d *Discovery) SetAnswerDelay(delay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.answerDelay = delay
+}
+
+func (d *Discovery) currentAnswerDelay() time.Duration {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.answerDelay
+}
+
 // SetFaultNow replaces the faults by one that begins at once and does not end; Healthy ends all faults.
 func (d *Discovery) SetFaultNow(kind FaultKind, delay time.Duration) {
 	d.SetFaults(Fault{Kind: kind, From: time.Since(d.start), To: 1 << 62, Delay: delay})
@@ -67,6 +80,9 @@
 // applyFault answers a request as the active fault demands. With done the request is finished. A fault that only delays
 // the answer applies when beforeAnswer is set, which is right before a regular answer.
 func (d *Discovery) applyFault(sc *senderConn, beforeAnswer bool) (done bool, err error) {
+	if beforeAnswer {
+		time.Sleep(d.currentAnswerDelay())
+	}
 	f := d.currentFault()
 	switch f.Kind {
 	case Refuse, Reset:
--- a/internal/soak/agent.go
+++ b/internal/soak/agent.go
@@ -40,6 +40,7 @@
 	noticeFaults   bool // some posts of notices fail
 	extraBytes     *standin.ExtraBytes
 	pendingRows    []standin.Row // changes that it learns once discovery is reachable
+	answerDelay    time.Duration // of its answers with a list
 }
 
 // discoveryFault is a period in which calls for the list failed.
@@ -69,6 +70,7 @@
 	a.listener = listener
 	a.discovery = standin.New(standin.Config{Rows: append([]standin.Row(nil), a.rows...), Generation: generation, OnNotice: a.recordNotice,
 		NoticeFault: a.drawNoticeFault, ExtraBytes: a.extraBytes})
+	a.discovery.SetAnswerDelay(a.answerDelay)
 	go a.discovery.Serve(listener, "sender")
 	return nil
 }
@@ -162,6 +164,14 @@
 	a.pendingRows = nil
 }
 
+// setAnswerDelay makes the agent answer late from now on, at its later addresses too; 0 for at once.
+func (a *agent) setAnswerDelay(delay time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.answerDelay = delay
+	a.discovery.SetAnswerDelay(delay)
+}
+
 // stallWatches makes all open watches unresponsive.
 func (a *agent) stallWatches() {
 	a.mu.Lock()
--- a/internal/soak/harness.go
+++ b/internal/soak/harness.go
@@ -24,6 +24,7 @@
 	FaultPeriod       time.Duration // faults begin within this time from the start
 	SystemCallFaults  bool          // senders run under a system call filter that lets calls fail; needs LaunchIfRequested
 	ExtraBytes        bool          // endpoints, agents and the platform send more than some good answers
+	SlowAgents        bool          // agents answer late at times, beside their other faults
 	Pushed            bool          // membership mode: an agent pushes the list; otherwise the sender requests it
 	Log               func(format string, args ...any)
 }
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,6 +27,7 @@
 const (
 	minFaultDuration   = 300 * time.Millisecond
 	maxFaultDuration   = 4 * time.Second
+	maxAnswerDelay     = 500 * time.Millisecond // of a slow agent: what it has counts as known, and the grace is 1 s
 	maxTotalSuspension = 150 * time.Millisecond // of a sender, in one piece or as a series
 )
 
@@ -38,6 +39,9 @@
 		rng := senderPlanRNG(h, i)
 		p.planDiscoveryFaults(h, sender, rng)
 		p.planProcessFaults(h, sender, rng)
+		if h.cfg.SlowAgents {
+			p.planSlowAgent(h, sender, rand.New(rand.NewPCG(h.cfg.Seed, uint64(500+i))))
+		}
 		if sender.systemCalls != nil {
 			p.planSystemCallFaults(h, sender, rand.New(rand.NewPCG(h.cfg.Seed, uint64(300+i))))
 		}
@@ -152,6 +156,17 @@
 	}
 }
 
+// planSlowAgent makes one sender's agent answer late, again and again and beside its other faults.
+func (p *Plan) planSlowAgent(h *Harness, sender *managedSender, rng *rand.Rand) {
+	for at := time.Duration(rng.Int64N(int64(3 * time.Second))); at < h.cfg.FaultPeriod; {
+		length := minFaultDuration + time.Duration(rng.Int64N(int64(2*maxFaultDuration)))
+		delay := time.Duration(rng.Int64N(int64(maxAnswerDelay)))
+		p.add(at, fmt.Sprintf("%s: the agent answers %v late", sender.name, delay), func() error { sender.agent.setAnswerDelay(delay); return nil })
+		p.add(at+length, fmt.Sprintf("%s: the agent answers at once again", sender.name), func() error { sender.agent.setAnswerDelay(0); return nil })
+		at += length + time.Duration(rng.Int64N(int64(3*time.Second)))
+	}
+}
+
 // planProcessFaults restarts a sender by SIGTERM and SIGKILL, with repeated signals and with suspensions while it starts
 // and stops. It also suspends the running process, upgrades it, and moves discovery to another address.
 func (p *Plan) planProcessFaults(h *Harness, sender *managedSender, rng *rand.Rand) {
