Bound the late calls by number, and call late what was reported as late

An answer that came in the moment in which its call became overdue was not reported as missing, but counted as late; the decisions then kept the watch for open until the next call. Watches in a slow discovery could be kept beyond maxLateCalls, as they live for their hold time too. Found by reading; no test showed either.

--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -33,6 +33,7 @@
 	ended     chan struct{} // closed once list and err are set
 	setLate   sync.Once
 	bytesRead atomic.Int64 // of the body
+	late      bool         // the running Watch has reported the call as one without an answer in time
 
 	// The result, to be read once ended is closed.
 	list        *answer
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -306,7 +306,7 @@
 		c.revision++
 	}
 	c.mu.Unlock()
-	c.emit(ctx, Event{Update: list.Update, HasUpdate: true, Late: l.isOverdue(), CurrentAsOf: c.listCurrentAsOf(l),
+	c.emit(ctx, Event{Update: list.Update, HasUpdate: true, Late: l.late, CurrentAsOf: c.listCurrentAsOf(l),
 		Done: sync.OnceFunc(func() { close(applied) })})
 }
 
@@ -315,7 +315,7 @@
 // call came, or, if it waited for a change that did not come, at the end of the hold time; so may discovery that is late.
 func (c *Client) listCurrentAsOf(l *call) time.Time {
 	switch {
-	case !c.pushed && !l.isOverdue():
+	case !c.pushed && !l.late:
 		return l.firstByteAt.Add(-min(c.answerDelay, l.firstByteAt.Sub(l.startedAt)))
 	case l.list.rowCount == 0 && time.Since(l.startedAt) >= l.holdTime:
 		return l.startedAt.Add(l.holdTime)
@@ -330,7 +330,7 @@
 	switch {
 	case c.pushed:
 		return l.startedAt
-	case l.isWatch() && l.isOverdue():
+	case l.isWatch() && l.late:
 		return l.startedAt.Add(max(l.holdTime+unansweredHoldMargin-knownDelay, 0))
 	}
 	return time.Time{}
@@ -356,7 +356,7 @@
 // noteEnd notes how a call for the list ended, and logs it at debug level.
 func (c *Client) noteEnd(l *call, err error) {
 	c.noteAnswerDelay(l, err)
-	attrs := []any{"took", time.Since(l.startedAt).String(), "late", l.isOverdue()}
+	attrs := []any{"took", time.Since(l.startedAt).String(), "late", l.late}
 	if err != nil {
 		c.log.Debug("list call ended", append(attrs, "err", err)...)
 		return
@@ -429,6 +429,7 @@
 			if l.hasEnded() {
 				return l.err
 			}
+			l.late = true
 			c.keepOverdue(l)
 			return l.overdueError()
 		case <-begun: // a long answer is not a watch that waits for a change
--- a/internal/discovery/late.go
+++ b/internal/discovery/late.go
@@ -25,7 +25,9 @@
 	c.httpClient.CloseIdleConnections() // what silenced one connection may have silenced the others
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if n := len(c.lateCalls); c.addressChanged || n > 0 && l.startedAt.Sub(c.lateCalls[n-1].startedAt) < lateCallInterval {
+	n := len(c.lateCalls)
+	tooSoon := n > 0 && l.startedAt.Sub(c.lateCalls[n-1].startedAt) < lateCallInterval
+	if c.addressChanged || tooSoon || n >= maxLateCalls {
 		l.cancel()
 		return
 	}
