--- a/internal/discovery/call.go
+++ b/internal/discovery/call.go
@@ -48,18 +48,14 @@
 
 func (l *call) markOverdue() { l.setLate.Do(func() { close(l.overdue) }) }
 
-func (l *call) isOverdue() bool {
-	select {
-	case <-l.overdue:
-		return true
-	default:
-		return false
-	}
-}
+func (l *call) isOverdue() bool { return isClosed(l.overdue) }
+
+func (l *call) hasEnded() bool { return isClosed(l.ended) }
 
-func (l *call) hasEnded() bool {
+// isClosed reports whether a channel that nothing is sent on is closed.
+func isClosed(signal <-chan struct{}) bool {
 	select {
-	case <-l.ended:
+	case <-signal:
 		return true
 	default:
 		return false
